Answer what is owed before ending a garbled client's connection

A request with unreadable bytes behind it was taken on after our side of its connection had ended. The write of its +OK raised, which aborted the whole turn: its sends never went out and held their slots for good, its alarm was never set, and other newcomers heard nothing. The error's end now waits for the answers before it, and such a request is not taken on.

Seen to fail without the fix: the new test in tests/test_relay.py.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -47,8 +47,8 @@
 
     @property
     def wanted(self) -> bool:
-        """Whether its client is still there to hear it."""
-        return not self._connection.lost
+        """Whether its client is still there to hear it, and sent nothing unreadable behind it."""
+        return not self._connection.lost and not self._connection.closing
 
     def ok(self) -> None:
         self._set(b"+OK\r\n")
@@ -198,11 +198,14 @@
             ready.append(self.replies.popleft().data or b"")
         if ready and self.transport is not None and not self.lost:
             self.transport.write(b"".join(ready))
-        if self.server.draining and not self.closing:
+        if self.closing and not self.replies:
+            self._linger()
+        elif self.server.draining and not self.closing:
             self.close_between_requests()
 
     def fail(self, text: str) -> None:
-        """An error, and a close: for what can't be read any further."""
+        """An error, and a close: for what can't be read any further. What is owed before it is answered
+        first: nothing can be written once our side has ended."""
         if not self.closing:
             log.info("client connection closed: %s", text)
             self.closing = True
@@ -210,7 +213,6 @@
             reply = Reply(self)
             self.replies.append(reply)
             reply.error(text)
-            self._linger()
 
     def _linger(self) -> None:
         """End our side only. A close with its bytes unread would be a reset, and that takes back the error
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,7 @@
 
 from garnetrelay import discovery, hosts
 from starlingwick import interface as io
-from tests.sockets import Field, HttpServer, endpoint, listing, until
+from tests.sockets import Client, Field, HttpServer, endpoint, listing, until
 
 # ---- admission
 
@@ -90,6 +90,25 @@
     assert await client.read() is None
 
 
+async def test_lost_framing_behind_a_request_leaves_the_turn_whole(field: Field) -> None:
+    """Its answer is due when the connection is being closed: that must not cost the others theirs."""
+    client = await field.start()
+    other = await Client.connect(client.writer.get_extra_info("peername")[1])
+    assert await other.ask("PING") == b"PONG"
+    client.write("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
+    client.writer.write(b"garbage")
+    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
+    assert await client.read() == "BUSY"  # not taken on: what comes with garbage is no proper request
+    assert (await client.read()).startswith("ERR") and await client.read() is None
+    assert await other.read() == b"OK"
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "m2"
+    call.answer(200)
+    pacer = field.relays[0].pacer
+    await until(lambda: not field.relays[0].held)
+    await until(lambda: not pacer.calls and not pacer.messages)
+
+
 async def test_answers_come_in_the_order_of_pipelined_requests(field: Field) -> None:
     client = await field.start()
     client.write("PING", "one")
