--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -210,6 +210,8 @@
             match event:
                 case h11.Response():
                     self.outcome = read_outcome(event.status_code, list(event.headers))
+                    if self.outcome.status is io.Status.ERROR and event.status_code != 500:
+                        log.info("host %s: answered %d, taken for an error", self.host, event.status_code)
                     if self.outcome.finished and self.exchange is not None:
                         # The first line settles it. The connection stays busy until the rest has come.
                         self.exchange.end(self.outcome)
@@ -311,7 +313,9 @@
             async with asyncio.timeout(self.connect_time):
                 _, connection = await loop.create_connection(
                     lambda: Connection(self, exchange.host, address), address.host, address.port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            log.info("host %s: no connection, %d open: %s", exchange.host,
+                     sum(one.host == exchange.host for one in self.open), str(error) or type(error).__name__)
             exchange.end(Outcome(io.Status.CONNECT_FAILED))
             return
         if exchange.ended:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 from garnetrelay import hosts as net
@@ -25,6 +26,8 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
+REPORT_EVERY = 5.0  # seconds between lines of figures in the log
+REPORT_DESTS = 3  # destinations named there
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 
 
@@ -65,6 +68,8 @@
         self.inbox: list[io.Event] = []
         self.turn_due = False
         self.alarm: asyncio.TimerHandle | None = None
+        self.report: asyncio.TimerHandle | None = None
+        self.outcomes: Counter[str] = Counter()  # since the last report
         self.stopping = False
         self.finished = asyncio.Event()
         # Half of the descriptors for hosts, most of the rest for clients; a few for discovery and files.
@@ -82,6 +87,7 @@
         self._turn()
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
+        self.report = asyncio.get_running_loop().call_later(REPORT_EVERY, self._report)
         return await self.server.start(self.config.listen.host, self.config.listen.port)
 
     def stop(self) -> None:
@@ -107,11 +113,25 @@
     def close(self) -> None:
         if self.alarm is not None:
             self.alarm.cancel()
+        if self.report is not None:
+            self.report.cancel()
         self.discovery.close()
         self.notices.close()
         self.hosts.close()
         self.journal.close()
 
+    def _report(self) -> None:
+        """Figures for the people on call: what we hold, what came back, and what holds up the rest."""
+        pacer, pool = self.pacer, self.hosts
+        log.info("load: held=%d out=%d/%d untold=%d clients=%d connections=%d idle=%d %s", len(self.held),
+                 len(pacer.calls), self.settings.slots, len(self.notices.queue), len(self.server.connections),
+                 len(pool.open), sum(map(len, pool.idle.values())),
+                 " ".join(f"{name}={count}" for name, count in sorted(self.outcomes.items())))
+        self.outcomes.clear()
+        for line in pacer.backlog(REPORT_DESTS):
+            log.info("backlog: %s", line)
+        self.report = asyncio.get_running_loop().call_later(REPORT_EVERY, self._report)
+
     # ---- the start
 
     def _read_known(self) -> None:
@@ -308,6 +328,7 @@
         def done(outcome: net.Outcome) -> None:
             message.exchange = None
             log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
+            self.outcomes[outcome.status.name.lower()] += 1
             if written:
                 self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
             if outcome.finished:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -762,5 +762,18 @@
                         self.count_call(dest, host)
                         self.actions.append(Probe(host.name, self.now + PROBE_TIME))
 
+    def backlog(self, most: int) -> list[str]:
+        """What holds up the destinations that most messages wait for: for the people on call."""
+        lines = []
+        for number in sorted(self.waiting, key=lambda number: -len(self.waiting[number]))[:most]:
+            for dest in self.routes.get(number, ()):
+                pause = max(dest.wait_until, dest.rest_until, dest.next_call, self.now) - self.now
+                lines.append(
+                    f"dest={number} waiting={len(self.waiting[number])} out={len(dest.calls)}"
+                    f" most={self.most_calls(dest)} ceiling={dest.ceiling or 0:.2f}/s part={dest.part:.2f}/s"
+                    f" listed={dest.listed:.2f}/s mean={dest.mean / SECOND:.3f}s bad={dest.bad:.2f}"
+                    f" pause={pause / SECOND:.2f}s cold={self.is_cold(dest)}")
+        return lines
+
     def log(self, text: str) -> None:
         self.actions.append(Log(text))
