Refuse client commands whose strings do not end where their length says

hiredis passes over the two bytes behind a bulk string unread. A stranger's ENQUEUE with garbage there was taken on with the one behind it; the hosts answered 400 to each attempt, that was blamed on them, and the largest destination (listed 84/s) went from outage to outage.

Seen to fail without the fix: the misframed string in test_relay.py.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -124,7 +124,7 @@
     def __init__(self, server: Server) -> None:
         self.server = server
         self.reader = hiredis.Reader(protocolError=Rejected, replyError=Rejected)
-        self.partial = 0  # bytes of a command that has not come whole
+        self.unread = bytearray()  # of a command that has not come whole
         self.replies: deque[Reply] = deque()
         self.lost = False
         self.closing = False
@@ -159,24 +159,32 @@
             self.close_between_requests()
 
     def _take(self, piece: bytes) -> None:
-        if not self.partial and (piece[:1] != b"*" or len(piece) > 2 and piece[2:3] not in b"\r0123456789"):
+        if not self.unread and (piece[:1] != b"*" or len(piece) > 2 and piece[2:3] not in b"\r0123456789"):
             self.fail("a command is an array of bulk strings")
             return
-        self.partial += len(piece)
+        self.unread += piece
         try:
             self.reader.feed(piece)
             while (words := self.reader.gets()) is not False:
-                self.partial = len(piece) if self.reader.has_data() else 0
+                self._strip(words)
                 self._command(words)
         except (Rejected, hiredis.HiredisError, MemoryError) as error:
             self.fail(f"Protocol error: {error}")  # framing is lost: nothing behind it can be read
             return
-        if self.partial > MOST_COMMAND:
+        if len(self.unread) > MOST_COMMAND:
             self.fail("command too long")
 
-    def _command(self, words: Any) -> None:
+    def _strip(self, words: Any) -> None:
+        """Take a command off what is unread. The parser passes over the two bytes behind a bulk string,
+        whatever they are: only what the words would be written as again is their proper framing."""
         if not isinstance(words, list) or not words or not all(isinstance(word, bytes) for word in words):
             raise Rejected("a command is an array of bulk strings")
+        framed = hiredis.pack_command(tuple(words))
+        if not self.unread.startswith(framed):
+            raise Rejected("a length does not fit its string")
+        del self.unread[:len(framed)]
+
+    def _command(self, words: list[bytes]) -> None:
         reply = Reply(self)
         self.replies.append(reply)
         name = words[0].upper()
@@ -209,7 +217,7 @@
         if not self.closing:
             log.info("client connection closed: %s", text)
             self.closing = True
-            self.partial = 0
+            self.unread.clear()
             reply = Reply(self)
             self.replies.append(reply)
             reply.error(text)
@@ -228,7 +236,7 @@
         """Close unless an answer is owed or a request has come, in part or unread: closing then would lose
         a message. What is unread is answered first, and the close comes right behind the answer."""
         transport = self.transport
-        if self.closing or self.replies or self.partial or transport is None or transport.is_closing():
+        if self.closing or self.replies or self.unread or transport is None or transport.is_closing():
             return
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -162,6 +162,12 @@
     return json.dumps({"index": index, "snapshot": snapshot, "endpoints": list(endpoints)})
 
 
+def packed(*words: str | bytes) -> bytes:
+    """A command as it goes over the wire."""
+    data: bytes = hiredis.pack_command(tuple(words))  # type: ignore[arg-type]
+    return data
+
+
 class Client:
     """A client's connection."""
 
@@ -175,7 +181,7 @@
         return cls(*await asyncio.open_connection("127.0.0.1", port))
 
     def write(self, *words: str | bytes) -> None:
-        self.writer.write(hiredis.pack_command(tuple(words)))  # type: ignore[arg-type]
+        self.writer.write(packed(*words))
 
     async def read(self) -> Any:
         """The next answer; None when the relay has closed."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,7 @@
 
 from garnetrelay import discovery, hosts
 from starlingwick import interface as io
-from tests.sockets import Client, Field, HttpServer, endpoint, listing, until
+from tests.sockets import Client, Field, HttpServer, endpoint, listing, packed, until
 
 # ---- admission
 
@@ -90,6 +90,26 @@
     assert await client.read() is None
 
 
+async def test_string_longer_than_its_length_is_no_request(field: Field) -> None:
+    """The parser alone would take the first for a message of 'abcd', and the second for a proper one."""
+    client = await field.start()
+    command = packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "abcd")
+    client.writer.write(command[:-2] + b"XX" + command)
+    assert (await client.read()).startswith("ERR")
+    assert await client.read() is None
+    assert field.relays[0].held == {} and field.host.calls.empty()
+
+
+async def test_command_may_come_in_pieces_and_with_the_next_behind_it(field: Field) -> None:
+    client = await field.start()
+    one = packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", bytes(64 * 1024))
+    data = one + packed("PING") + one.replace(b"m1", b"m2")
+    for start in range(0, len(data), 5000):
+        client.writer.write(data[start:start + 5000])
+        await client.writer.drain()
+    assert [await client.read() for _ in range(3)] == [b"OK", b"PONG", b"OK"]
+
+
 async def test_lost_framing_behind_a_request_leaves_the_turn_whole(field: Field) -> None:
     """Its answer is due when the connection is being closed: that must not cost the others theirs."""
     client = await field.start()
