Close peers that send no whole request in time, and make room for clients

Nothing ever closed a peer that connects and stays silent. A peer now has 2.5 s for a whole request; at the bound the connection longest without a request (2 s at least) makes way; the bound is a third of the descriptors; who is shut out hears BUSY and may come again.

Ruled out: clients' own connections, as a census at the bound found nearly all of them without a single byte. Seen to fail without the fix: six tests in test_relay.py.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -16,7 +16,10 @@
 
 MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 16 * 1024  # a command with all its framing
+REQUEST_TIME = 2.5  # seconds for a whole request to come: a peer is owed an answer or a close within 3
+IDLE_TIME = 2.0  # seconds without a request after which a connection may be closed to make room
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
+MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -129,17 +132,41 @@
         self.lost = False
         self.closing = False
         self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None  # runs until a request has come whole
+        self.quiet_from = 0.0  # when it was opened, or its last request came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if len(self.server.connections) >= self.server.most:
-            self.fail("too many connections")
-        self.server.connections.add(self)
+        if not self.server.make_room():
+            self.fail("too many connections", busy=True)
+            if len(self.server.connections) >= self.server.most + MOST_SHUT_OUT:
+                transport.abort()
+        self.server.connections[self] = None
+        self.quiet_from = asyncio.get_running_loop().time()
+        self._await_request()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = True
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
+        self._request_came()
+
+    def _await_request(self) -> None:
+        if self.timer is None and not self.closing:
+            self.timer = asyncio.get_running_loop().call_later(REQUEST_TIME, self._overdue)
+
+    def _overdue(self) -> None:
+        """No error where nothing has come: a client that begins just now would take it for its answer."""
+        self.timer = None
+        if self.unread:
+            self.fail("no whole request in time")
+        elif not self.close_between_requests():
+            self._await_request()
+
+    def _request_came(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
     # A client that reads nothing must not fill our memory with answers: stop reading its commands.
     def pause_writing(self) -> None:
@@ -173,6 +200,8 @@
             return
         if len(self.unread) > MOST_COMMAND:
             self.fail("command too long")
+        elif self.unread:
+            self._await_request()
 
     def _strip(self, words: Any) -> None:
         """Take a command off what is unread. The parser passes over the two bytes behind a bulk string,
@@ -185,6 +214,8 @@
         del self.unread[:len(framed)]
 
     def _command(self, words: list[bytes]) -> None:
+        self._request_came()
+        self.server.touch(self)
         reply = Reply(self)
         self.replies.append(reply)
         name = words[0].upper()
@@ -211,16 +242,20 @@
         elif self.server.draining and not self.closing:
             self.close_between_requests()
 
-    def fail(self, text: str) -> None:
+    def fail(self, text: str, busy: bool = False) -> None:
         """An error, and a close: for what can't be read any further. What is owed before it is answered
         first: nothing can be written once our side has ended."""
         if not self.closing:
             log.info("client connection closed: %s", text)
             self.closing = True
             self.unread.clear()
+            self._request_came()
             reply = Reply(self)
             self.replies.append(reply)
-            reply.error(text)
+            if busy:
+                reply.busy(0)
+            else:
+                reply.error(text)
 
     def _linger(self) -> None:
         """End our side only. A close with its bytes unread would be a reset, and that takes back the error
@@ -232,17 +267,19 @@
             transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER, transport.abort)
 
-    def close_between_requests(self) -> None:
-        """Close unless an answer is owed or a request has come, in part or unread: closing then would lose
-        a message. What is unread is answered first, and the close comes right behind the answer."""
+    def close_between_requests(self) -> bool:
+        """Close, and say so, unless an answer is owed or a request has come, in part or unread: closing
+        then would lose a message. What is unread is answered first, and the close comes right behind it."""
         transport = self.transport
         if self.closing or self.replies or self.unread or transport is None or transport.is_closing():
-            return
+            return False
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not poll.poll(0):
-            self.closing = True
-            transport.close()
+        if poll.poll(0):
+            return False
+        self.closing = True
+        transport.close()
+        return True
 
 
 class Server:
@@ -251,7 +288,7 @@
     def __init__(self, handler: Handler, most: int) -> None:
         self.handler = handler
         self.most = most
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}  # longest without a request first
         self.draining = False
         self._server: asyncio.Server | None = None
 
@@ -262,6 +299,24 @@
         name = self._server.sockets[0].getsockname()
         return str(name[0]), int(name[1])
 
+    def touch(self, connection: Connection) -> None:
+        """A request has come on a connection: it is the last that would go."""
+        connection.quiet_from = asyncio.get_running_loop().time()
+        if self.connections.pop(connection, self) is None:
+            self.connections[connection] = None
+
+    def make_room(self) -> bool:
+        """Whether one more connection fits; one that has long been without a request makes way for it."""
+        if len(self.connections) < self.most:
+            return True
+        quiet = asyncio.get_running_loop().time() - IDLE_TIME
+        for connection in self.connections:
+            if connection.quiet_from > quiet:
+                return False
+            if connection.close_between_requests():
+                return True
+        return False
+
     def drain(self) -> None:
         """Take no new connection, and close the open ones as soon as each is between requests."""
         self.draining = True
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -72,9 +72,9 @@
         self.outcomes: Counter[str] = Counter()  # since the last report
         self.stopping = False
         self.finished = asyncio.Event()
-        # Half of the descriptors for hosts, most of the rest for clients; a few for discovery and files.
+        # Half of the descriptors for hosts, a third for clients; the rest for discovery and files.
         self.hosts = net.Hosts(config.settings, config.sockets // 2)
-        self.server = Server(self.on_request, max(1, config.sockets // 2 - 48))
+        self.server = Server(self.on_request, max(1, config.sockets // 3))
         self.reader = Reader(config)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
         self.notices = Notices(config.discovery, self.journal.told)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from garnetrelay import discovery, hosts
+from garnetrelay import clients, discovery, hosts
 from starlingwick import interface as io
 from tests.sockets import Client, Field, HttpServer, endpoint, listing, packed, until
 
@@ -129,6 +129,56 @@
     await until(lambda: not pacer.calls and not pacer.messages)
 
 
+@pytest.mark.parametrize("begun", [b"", b"*5\r\n$7\r\nENQ", packed("PING") + b"*5\r\n$7\r\nENQ"],
+                         ids=["silent", "in part", "in part behind a request"])
+async def test_peer_without_a_whole_request_is_closed_in_time(
+        field: Field, monkeypatch: pytest.MonkeyPatch, begun: bytes) -> None:
+    assert clients.REQUEST_TIME < 3
+    monkeypatch.setattr(clients, "REQUEST_TIME", 0.05)
+    client = await field.start()
+    client.writer.write(begun)
+    answers = []
+    while (answer := await client.read()) is not None:
+        answers.append(answer)
+    assert [a for a in answers if a != b"PONG"] == (["ERR no whole request in time"] if begun else [])
+    await until(lambda: not field.relays[0].server.connections)
+
+
+async def test_client_whose_requests_have_come_stays_connected(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "REQUEST_TIME", 0.05)
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG"
+    silent = await Client.connect(client.writer.get_extra_info("peername")[1])
+    assert await silent.read() is None  # by now the first would have gone as well
+    assert await client.ask("PING") == b"PONG"
+
+
+async def test_quiet_peers_make_way_for_a_client(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """They hold a third of the descriptors between them: nobody else could hand in a message."""
+    monkeypatch.setattr(clients, "IDLE_TIME", 0.0)
+    field.limits["sockets"] = 30
+    client = await field.start()
+    port = client.writer.get_extra_info("peername")[1]
+    quiet = [await Client.connect(port) for _ in range(9)]
+    server = field.relays[0].server
+    await until(lambda: len(server.connections) == 10)
+    late = await Client.connect(port)
+    assert await late.enqueue("m1") == b"OK"
+    assert await client.read() is None and len(server.connections) <= 10
+    assert await quiet[-1].ask("PING") == b"PONG"
+
+
+async def test_client_beyond_the_bound_is_told_that_it_may_come_again(field: Field) -> None:
+    field.limits["sockets"] = 30
+    client = await field.start()
+    port = client.writer.get_extra_info("peername")[1]
+    others = [client] + [await Client.connect(port) for _ in range(9)]
+    assert [await one.ask("PING") for one in others] == [b"PONG"] * 10
+    late = await Client.connect(port)
+    assert await late.read() == "BUSY" and await late.read() is None
+
+
 async def test_answers_come_in_the_order_of_pipelined_requests(field: Field) -> None:
     client = await field.start()
     client.write("PING", "one")
