Count a reset against a destination only where it has stopped answering

A failed connect still counts, as it is how a full table shows.

Seen to fail without the fix: test_pacing.py.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -454,10 +454,18 @@
             self.judge(dest, host, True)
         elif status is Status.FULL:
             self.on_refused(call, wait, left)
+        elif status is Status.RESET and self.answers(dest):
+            host.bad += BAD_WEIGHT * (1.0 - host.bad)  # a connection broke; the destination is well
+            host.retry_at = self.now + REST
         elif status in (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
             if not call.blamed:
                 self.judge(dest, host, False)
 
+    def answers(self, dest: Destination) -> bool:
+        """Whether a call there was answered well so lately that the next may just be on its way. Connections
+        may break one by one between us; where a destination goes down, its answers end too."""
+        return bool(dest.served) and self.now - dest.served[-1] < self.late_after(dest)
+
     def on_refused(self, call: Call, wait: int, left: float | None) -> None:
         """The design's signal. A refusal that no limit explains, for long, is a shut destination."""
         dest = call.dest
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -163,6 +163,21 @@
     assert not relay.pacer.routes[1][0].out
 
 
+def test_broken_connections_among_answers_are_no_outage() -> None:
+    """Connections break one by one between us and a destination that is well; where it is down, they break
+    and nothing is answered."""
+    relay = Relay(entry("a"))
+    relay.serve(5)
+    dest = relay.pacer.routes[1][0]
+    relay.turn(*[relay.message() for _ in range(4)], after=10 * MS)
+    for send in relay.sends():
+        relay.turn(relay.verdict(send.call, io.Status.RESET), after=10 * MS)
+    assert not dest.out and dest.bad_from is None
+    relay.now += S
+    relay.try_all(io.Status.RESET, 3)
+    assert dest.out
+
+
 def test_long_told_wait_means_shut_and_a_ramp_from_its_end() -> None:
     """All relays are told the same opening time; none may be there at once, none stays away for long."""
     starts = []
