Open a connection again at once that was reset as it came up

Nothing of the call has been sent by then, and a host that is down refuses instead. Seen to fail without the fix: test_relay.py.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -321,11 +321,13 @@
         task.add_done_callback(self._opened)
 
     async def _connect(self, exchange: Exchange, address: Address) -> None:
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.connect_time):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(self, exchange.host, address), address.host, address.port)
+                try:
+                    connection = await self._open(exchange.host, address)
+                except ConnectionResetError:
+                    # It was taken up, then broke, with nothing of the call sent: a host that is down refuses.
+                    connection = await self._open(exchange.host, address)
         except (OSError, TimeoutError) as error:
             log.info("host %s: no connection, %d open: %s", exchange.host,
                      sum(one.host == exchange.host for one in self.open), str(error) or type(error).__name__)
@@ -336,6 +338,11 @@
         else:
             self._go(connection, exchange)
 
+    async def _open(self, host: str, address: Address) -> Connection:
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: Connection(self, host, address), address.host, address.port)
+        return connection
+
     def _opened(self, task: asyncio.Task[None]) -> None:
         self.opening.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from garnetrelay import clients, discovery, hosts
+from garnetrelay.config import Address
 from starlingwick import interface as io
 from tests.sockets import Client, Field, HttpServer, endpoint, listing, packed, until
 
@@ -339,6 +340,27 @@
     assert (dest.bad_at == 0) is answered and (host.bad == 0.0) is answered
 
 
+@pytest.mark.parametrize(("error", "attempts"), [(ConnectionResetError, 1), (ConnectionRefusedError, 2)])
+async def test_connection_that_broke_as_it_came_up_is_opened_again_at_once(
+        field: Field, monkeypatch: pytest.MonkeyPatch, error: type[OSError], attempts: int) -> None:
+    """Nothing of the call was sent, and a host that is down refuses."""
+    client = await field.start()
+    relay = field.relays[0]
+    really_open, failures = relay.hosts._open, [error()]
+
+    async def fails_once(host: str, address: Address) -> hosts.Connection:
+        if failures:
+            raise failures.pop()
+        return await really_open(host, address)
+
+    monkeypatch.setattr(relay.hosts, "_open", fails_once)
+    await client.enqueue("m1")
+    call = await field.host.next_call()
+    assert relay.held["m1"].attempts == attempts
+    call.answer(200)
+    await until(lambda: not relay.held)
+
+
 async def test_idle_connections_go_with_a_call_that_timed_out(field: Field) -> None:
     """A vanished machine resets them when it is back, and an unsafe message on one would die of it."""
     client = await field.start()
