--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import math
+import re
 import select
 import time
 from collections import deque
@@ -25,8 +26,10 @@
 SECOND = 1_000_000_000
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as it closes would end as a reset
 MOST_HEAD = 16 * 1024
+MOST_FIRST_LINE = 200
 MOST_ANSWER = 64 * 1024  # beyond this an answer is not worth reading for its connection's sake
 STALE_TIME = 0.1  # seconds, a trip there and back: so soon breaks a call on what its host had closed
+DELIVERED = re.compile(rb"HTTP/\d\.\d 200(?: [^\r\n]*)?\r?\n")  # a first line that holds, whatever follows
 DRAIN_TIME = 0.5  # seconds for what is left of an answer whose outcome is known
 
 
@@ -85,7 +88,7 @@
                 self.opening.cancel()
             self.end(Outcome(io.Status.CONNECT_FAILED))
             return
-        outcome = connection.outcome or Outcome(
+        outcome = connection.settled or Outcome(
             status if connection.written_in_full() else io.Status.CONNECT_FAILED)
         connection.abort()
         if outcome.status is io.Status.TIMEOUT:
@@ -143,6 +146,7 @@
         self.exchange: Exchange | None = None
         self.outcome: Outcome | None = None  # of the answer whose body is still coming
         self.received = 0
+        self.head = b""  # the answer's first bytes
         self.body = b""
         self.calls = 0
         self.written_at = 0.0
@@ -166,7 +170,14 @@
         a byte, where an earlier call was answered: the host had closed the connection while it stood idle."""
         waited = asyncio.get_running_loop().time() - self.written_at
         stale = self.calls > 1 and not self.received and waited < STALE_TIME
-        return self.outcome or Outcome(io.Status.RESET, stale=stale)
+        return self.settled or Outcome(io.Status.RESET, stale=stale)
+
+    @property
+    def settled(self) -> Outcome | None:
+        """The outcome, where what has come of the answer decides it: a first line with 200 does."""
+        if self.outcome is None and DELIVERED.match(self.head):
+            return Outcome(io.Status.OK, finished=True)
+        return self.outcome
 
     def eof_received(self) -> bool:
         # An answer without a length ends with its connection.
@@ -192,7 +203,7 @@
             self.timer.cancel()
             self.timer = None
         self.exchange, exchange.connection = exchange, self
-        self.outcome, self.received, self.body = None, 0, b""
+        self.outcome, self.received, self.head, self.body = None, 0, b"", b""
         self.calls += 1
         self.written_at = asyncio.get_running_loop().time()
         headers = [("Host", str(self.address)), *ask.headers]
@@ -208,6 +219,7 @@
             self.abort()  # nothing was asked: whatever this is, the next answer could not be told from it
             return
         self.received += len(data)
+        self.head = (self.head + data)[:MOST_FIRST_LINE]
         try:
             self.http.receive_data(data)
             self._read_events()
@@ -234,7 +246,7 @@
                 case h11.EndOfMessage():
                     self._answer_complete()
                 case h11.InformationalResponse():
-                    pass
+                    self.head = self.http.trailing_data[0][:MOST_FIRST_LINE]
                 case h11.ConnectionClosed():
                     self._finish(self._broken(), keep=False)
                 case _:
