Move discovery and notices on SIGHUP

The signal was not handled and ended the process. The relay now reads the address from the file again, goes on watching from its last version there, and posts notices there; a file that can't be read changes nothing.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 
-from garnetrelay.config import Config, ConfigError, load
+from garnetrelay.config import Config, ConfigError, load, load_discovery
 from garnetrelay.relay import Relay
 
 log = logging.getLogger("garnetrelay")
@@ -21,6 +21,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload, relay)
     try:
         host, port = await relay.start()
         log.info("%s serves on %s port %d", config.name, host, port)
@@ -29,6 +30,14 @@
         relay.close()
 
 
+def reload(relay: Relay) -> None:
+    """Take over what of the configuration may change in service; one that can't be read changes nothing."""
+    try:
+        relay.move(load_discovery(os.environ))
+    except ConfigError as error:
+        log.error("the configuration stays as it was: %s", error)
+
+
 def main() -> int:
     """The exit status."""
     level = os.environ.get("RELAY_LOG_LEVEL", "INFO").upper()
--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -5,15 +5,18 @@
 import dataclasses
 import hashlib
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from starlingwick import interface as io
 from starlingwick.settings import parse_settings
 
 
+T = TypeVar("T")
+
+
 class ConfigError(ValueError):
     """A configuration that the relay cannot start with."""
 
@@ -58,28 +61,37 @@
 
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration that the environment points to; ConfigError with one plain line if it is unusable."""
-    try:
-        path = environment["RELAY_CONFIG"]
-        state = Path(environment["RELAY_STATE"])
-    except KeyError as error:
-        raise ConfigError(f"{error.args[0]} is not set") from None
+    if "RELAY_STATE" not in environment:
+        raise ConfigError("RELAY_STATE is not set")
+    return _read(environment, lambda raw: _config(raw, environment, Path(environment["RELAY_STATE"])))
+
+
+def load_discovery(environment: Mapping[str, str]) -> Address:
+    """Where discovery is by now: the file alone says, as it may be replaced while the environment stays."""
+    return _read(environment, lambda raw: Address.parse(raw["discovery"]))
+
+
+def _read(environment: Mapping[str, str], take: Callable[[dict[str, Any]], T]) -> T:
+    if "RELAY_CONFIG" not in environment:
+        raise ConfigError("RELAY_CONFIG is not set")
+    path = environment["RELAY_CONFIG"]
     try:
         raw = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not an object")
     try:
-        return _config(raw, environment, state)
+        return take(raw)
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
     except (TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def _config(raw: Any, environment: Mapping[str, str], state: Path) -> Config:
-    if not isinstance(raw, dict):
-        raise ValueError("not an object")
+def _config(raw: dict[str, Any], environment: Mapping[str, str], state: Path) -> Config:
     limits, facts = raw.get("limits", {}), raw["settings"]
     settings = parse_settings(facts)
     # The protocol carries one message in a call, whatever the simulator's kinds allow.
--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -91,8 +91,17 @@
         if self.task is not None:
             self.task.cancel()
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere from now on: go on from there with what we have."""
+        self.address = address
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+            self.subscribe()
+
     def _ended(self, task: asyncio.Task[None]) -> None:
-        self.task = None
+        if self.task is task:
+            self.task = None
         if task.cancelled():
             return
         error = task.exception()
--- a/garnetrelay/notices.py
+++ b/garnetrelay/notices.py
@@ -30,6 +30,7 @@
         self.task: asyncio.Task[None] | None = None
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.connected_to = address
         self.http = h11.Connection(h11.CLIENT)
 
     def start(self) -> None:
@@ -43,6 +44,10 @@
         self.queue[ref] = json.dumps(notice, separators=(",", ":")).encode() + b"\n"
         self.due.set()
 
+    def move(self, address: Address) -> None:
+        """The platform is elsewhere from now on; a post that is under way may still be answered."""
+        self.address = address
+
     def close(self) -> None:
         if self.task is not None:
             self.task.cancel()
@@ -83,10 +88,13 @@
         return batch
 
     async def _connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """The kept connection, or a new one where the platform has closed it."""
-        if self.reader is None or self.writer is None or self.reader.at_eof():
+        """The kept connection, or a new one where the platform has closed it or has moved."""
+        if (self.reader is None or self.writer is None or self.reader.at_eof()
+                or self.connected_to != self.address):
             self._hang_up()
-            self.reader, self.writer = await asyncio.open_connection(self.address.host, self.address.port)
+            address = self.address
+            self.reader, self.writer = await asyncio.open_connection(address.host, address.port)
+            self.connected_to = address
             self.http = h11.Connection(h11.CLIENT)
         return self.reader, self.writer
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -14,7 +14,7 @@
 
 from garnetrelay import hosts as net
 from garnetrelay.clients import Reply, Request, Server
-from garnetrelay.config import Config
+from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.notices import Notices
@@ -102,6 +102,12 @@
         loop.call_later(DRAIN_AFTER, self._drain)
         loop.call_at(at / SECOND, self.finished.set)
 
+    def move(self, address: Address) -> None:
+        """SIGHUP: discovery and notices are at another address from now on."""
+        log.info("discovery and notices move to %s", address)
+        self.discovery.move(address)
+        self.notices.move(address)
+
     def _drain(self) -> None:
         self.server.drain()
         self._end_if_idle()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,7 +15,7 @@
 import pytest_asyncio
 
 from garnetrelay.journal import Entry, Journal
-from tests.sockets import PATIENCE, Client, Field
+from tests.sockets import PATIENCE, Client, Field, Platform
 
 ROOT = Path(__file__).parent.parent
 
@@ -123,6 +123,31 @@
     assert Journal(field.state, 3_000_000).entries == {}
 
 
+async def test_sighup_moves_discovery_and_notices(field: Field, process: Process) -> None:
+    client = await process.start()
+    await field.platform.next_watch()
+    moved = Platform()
+    await moved.start()
+    assert process.child is not None
+    Path(field.environment()["RELAY_CONFIG"]).write_text("{")  # half a file changes nothing
+    process.child.send_signal(signal.SIGHUP)
+    assert process.child.stderr is not None
+    async with asyncio.timeout(PATIENCE):
+        while b"stays as it was" not in (line := await process.child.stderr.readline()):
+            assert line, "the relay ended"
+    old, field.platform = field.platform, moved
+    field.environment(process.port)
+    process.child.send_signal(signal.SIGHUP)
+    watch = await moved.next_watch()
+    assert watch.call.line == "GET /api/targets?follow=1&since=41 HTTP/1.1"
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    (await field.host.next_call()).answer(500)
+    assert await moved.next_notice() == {"ref": "m1", "result": "dead"}
+    assert old.notices.empty()
+    assert await process.end(signal.SIGTERM) == 0
+    await old.stop()
+
+
 @pytest.mark.parametrize(("text", "says"), [
     ("{", "not JSON"), ("[]", "not an object"), ('{"settings":{}}', "is missing"),
 ])
