Open the watch again where changes come by themselves

With discovery 'automatic' the Pacer never asks, and the relay opened a single watch at its start: once that ended, no drain was heard of again. It is opened again after 0.2 s, from the last version.

--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -26,6 +26,7 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
+WATCH_AGAIN = 0.2  # seconds after a watch has ended, to the next: what changes counts as told 6 s later
 REPORT_EVERY = 5.0  # seconds between lines of figures in the log
 REPORT_DESTS = 3  # destinations named there
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
@@ -69,6 +70,7 @@
         self.turn_due = False
         self.alarm: asyncio.TimerHandle | None = None
         self.report: asyncio.TimerHandle | None = None
+        self.rewatch: asyncio.TimerHandle | None = None
         self.outcomes: Counter[str] = Counter()  # since the last report
         self.stopping = False
         self.finished = asyncio.Event()
@@ -117,10 +119,9 @@
             self.finished.set()
 
     def close(self) -> None:
-        if self.alarm is not None:
-            self.alarm.cancel()
-        if self.report is not None:
-            self.report.cancel()
+        for timer in (self.alarm, self.report, self.rewatch):
+            if timer is not None:
+                timer.cancel()
         self.discovery.close()
         self.notices.close()
         self.hosts.close()
@@ -220,6 +221,8 @@
 
     def on_news(self, news: News | None) -> None:
         if news is None:
+            if self.settings.discovery is io.Discovery.AUTOMATIC:  # nobody else opens it again
+                self.rewatch = asyncio.get_running_loop().call_later(WATCH_AGAIN, self.discovery.subscribe)
             self._post(io.Roster(io.ListScope.FAILED, ()))
             return
         self._place(news)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -460,6 +460,18 @@
     await other.stop()
 
 
+async def test_watch_that_ended_is_opened_again_where_the_pacer_asks_for_none(field: Field) -> None:
+    field.facts["discovery"] = "automatic"
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(42, endpoint(field.host)))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    for _ in range(2):
+        watch.call.break_off()
+        watch = await field.platform.next_watch()
+        assert watch.call.line.split()[1].endswith("since=42")
+
+
 async def test_silent_watch_is_given_up(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """A machine that vanished says nothing; lines come every 2 s while all is well."""
     assert discovery.SILENCE > 3
