--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -160,7 +160,9 @@
         self.timer = None
         if self.unread:
             self.fail("no whole request in time")
-        elif not self.close_between_requests():
+        elif self.close_between_requests():
+            self.server.silent += 1
+        else:
             self._await_request()
 
     def _request_came(self) -> None:
@@ -289,6 +291,7 @@
         self.handler = handler
         self.most = most
         self.connections: dict[Connection, None] = {}  # longest without a request first
+        self.silent = 0  # connections closed without a request, so far
         self.draining = False
         self._server: asyncio.Server | None = None
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -130,9 +130,10 @@
     def _report(self) -> None:
         """Figures for the people on call: what we hold, what came back, and what holds up the rest."""
         pacer, pool = self.pacer, self.hosts
-        log.info("load: held=%d out=%d/%d untold=%d clients=%d connections=%d idle=%d %s", len(self.held),
-                 len(pacer.calls), self.settings.slots, len(self.notices.queue), len(self.server.connections),
-                 len(pool.open), sum(map(len, pool.idle.values())),
+        log.info("load: held=%d out=%d/%d untold=%d clients=%d silent=%d connections=%d idle=%d %s",
+                 len(self.held), len(pacer.calls), self.settings.slots, len(self.notices.queue),
+                 len(self.server.connections), self.server.silent, len(pool.open),
+                 sum(map(len, pool.idle.values())),
                  " ".join(f"{name}={count}" for name, count in sorted(self.outcomes.items())))
         self.outcomes.clear()
         for line in pacer.backlog(REPORT_DESTS):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -142,7 +142,9 @@
     while (answer := await client.read()) is not None:
         answers.append(answer)
     assert [a for a in answers if a != b"PONG"] == (["ERR no whole request in time"] if begun else [])
-    await until(lambda: not field.relays[0].server.connections)
+    server = field.relays[0].server
+    await until(lambda: not server.connections)
+    assert server.silent == (not begun)
 
 
 async def test_client_whose_requests_have_come_stays_connected(
