--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -239,17 +239,21 @@
     assert (await field.platform.next_notice())["result"] == "dead"
 
 
-@pytest.mark.parametrize("answer", [
-    b"HTTP/1.1 200 OK\r\nConten", b"HTTP/1.1 200 OK\r\nnot a header\x00\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n", b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200\r\n",
-], ids=["torn", "header", "length", "behind 1xx"])
-async def test_first_line_that_says_200_stands_whatever_follows(field: Field, answer: bytes) -> None:
+async def answer_and_close(field: Field, answer: bytes) -> None:
     client = await field.start()
     await client.enqueue("m1", "unsafe")
     call = await field.host.next_call()
     call.raw(answer)
     await call.writer.drain()
     call.writer.close()
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 200 OK\r\nConten", b"HTTP/1.1 200 OK\r\nnot a header\x00\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n", b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200\r\n",
+], ids=["torn", "header", "length", "behind 1xx"])
+async def test_first_line_that_says_200_stands_whatever_follows(field: Field, answer: bytes) -> None:
+    await answer_and_close(field, answer)
     await until(lambda: not field.relays[0].held)
     assert field.relays[0].journal.entries == {} and field.relays[0].notices.queue == {}
 
@@ -258,12 +262,7 @@
     b"HTTP/1.1 200", b"HTTP/1.1 2000 OK\r\n\r\n", b"HTTP/1.1 102 Processing\r\n\r\n", b"HTTP/1.1 500 200\r\n",
 ], ids=["first line torn", "no 200", "only 1xx", "500"])
 async def test_torn_answer_without_a_200_line_may_have_run(field: Field, answer: bytes) -> None:
-    client = await field.start()
-    await client.enqueue("m1", "unsafe")
-    call = await field.host.next_call()
-    call.raw(answer)
-    await call.writer.drain()
-    call.writer.close()
+    await answer_and_close(field, answer)
     assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
 
 
