--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -10,6 +10,7 @@
 import sys
 
 from garnetrelay.config import Config, ConfigError, load, load_discovery
+from garnetrelay.management import Door, routes
 from garnetrelay.relay import Relay
 
 log = logging.getLogger("garnetrelay")
@@ -18,15 +19,19 @@
 async def serve(config: Config) -> None:
     """Run until a signal has ended the relay."""
     relay = Relay(config)
+    door = Door(routes(relay.health), config.sockets)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
     loop.add_signal_handler(signal.SIGHUP, reload, relay)
     try:
+        if config.mgmt is not None:
+            log.info("operators' door on %s port %d", *door.start(config.mgmt))
         host, port = await relay.start()
         log.info("%s serves on %s port %d", config.name, host, port)
         await relay.finished.wait()
     finally:
+        door.close()
         relay.close()
 
 
--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -46,6 +46,7 @@
     name: str
     listen: Address
     discovery: Address
+    mgmt: Address | None  # the operators' door, where there is one
     state: Path
     seed: int
     sockets: int
@@ -96,10 +97,12 @@
     settings = parse_settings(facts)
     # The protocol carries one message in a call, whatever the simulator's kinds allow.
     kinds = tuple(dataclasses.replace(kind, per_call=1) for kind in settings.kinds)
+    mgmt = environment.get("RELAY_MGMT") or raw.get("mgmt")
     return Config(
         name=str(environment.get("RELAY_NAME") or raw["name"]),
         listen=Address.parse(environment.get("RELAY_LISTEN") or raw["listen"]),
         discovery=Address.parse(environment.get("RELAY_DISCOVERY") or raw["discovery"]),
+        mgmt=Address.parse(mgmt) if mgmt else None,
         state=state,
         # Any text will do for a seed; a hash keeps it the same from run to run.
         seed=int.from_bytes(hashlib.sha256(str(raw.get("seed", "")).encode()).digest()[:8]),
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -16,6 +16,7 @@
 from garnetrelay.clients import Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
+from garnetrelay.health import Health
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.notices import Notices
 from starlingwick import interface as io
@@ -72,6 +73,7 @@
         self.report: asyncio.TimerHandle | None = None
         self.rewatch: asyncio.TimerHandle | None = None
         self.outcomes: Counter[str] = Counter()  # since the last report
+        self.health = Health()
         self.stopping = False
         self.finished = asyncio.Event()
         # Half of the descriptors for hosts, a third for clients; the rest for discovery and files.
@@ -90,13 +92,16 @@
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
         self.report = asyncio.get_running_loop().call_later(REPORT_EVERY, self._report)
-        return await self.server.start(self.config.listen.host, self.config.listen.port)
+        address = await self.server.start(self.config.listen.host, self.config.listen.port)
+        self.health.ready = True
+        return address
 
     def stop(self) -> None:
         """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
         if self.stopping:
             return
         self.stopping = True
+        self.health.ready = False
         log.info("stopping: %d messages held", len(self.held))
         at = time.monotonic_ns() + STOP_AFTER
         self._post(io.Stopping(at))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest_asyncio
 
+from tests.processes import Process
 from tests.sockets import Field
 
 
@@ -16,3 +18,11 @@
     await made.prepare()
     yield made
     await made.stop()
+
+
+@pytest_asyncio.fixture
+async def process(field: Field) -> AsyncIterator[Process]:
+    made = Process(field)
+    yield made
+    if made.child is not None and made.child.returncode is None:
+        await made.end(signal.SIGKILL)
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,48 @@
+"""A relay as a process of its own, for the tests that signal or kill it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from tests.sockets import PATIENCE, Client, Field
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+class Process:
+    """A relay that can be killed, and started again."""
+
+    def __init__(self, field: Field) -> None:
+        self.field = field
+        self.port = free_port()
+        self.mgmt: int | None = None
+        self.child: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> Client:
+        self.child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "garnetrelay", cwd=ROOT,
+            env={**os.environ, **self.field.environment(self.port, self.mgmt)},
+            stderr=asyncio.subprocess.PIPE)
+        assert self.child.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while b"serves on" not in (line := await self.child.stderr.readline()):
+                assert line, "the relay did not start"
+        return await Client.connect(self.port)
+
+    async def end(self, number: signal.Signals) -> int:
+        assert self.child is not None
+        if self.child.returncode is None:
+            self.child.send_signal(number)
+        async with asyncio.timeout(PATIENCE):
+            return await self.child.wait()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -202,6 +202,16 @@
         return await self.ask("ENQUEUE", "0000", ref, f"c={klass},d={d},k=key-{ref},dest={dest}", body)
 
 
+async def http(port: int, line: str) -> tuple[int, str]:
+    """One call at the operators' door: the answer's status and body."""
+    async with asyncio.timeout(PATIENCE):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"{line} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
+        head, _, body = (await reader.read()).decode().partition("\r\n\r\n")
+        writer.close()
+    return int(head.split()[1]), body
+
+
 class Field:
     """A relay, its hosts, its platform and a client."""
 
@@ -221,11 +231,12 @@
         await self.platform.start()
         self.endpoints = [endpoint(self.host)]
 
-    def environment(self, port: int = 0) -> dict[str, str]:
+    def environment(self, port: int = 0, mgmt: int | None = None) -> dict[str, str]:
         path = self.folder / "config.json"
         path.write_text(json.dumps({
             "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": self.platform.address, "seed": "5",
             "limits": self.limits, "settings": self.facts,
+            **({} if mgmt is None else {"mgmt": f"127.0.0.1:{mgmt}"}),
             "known": {"index": 41, "snapshot": True, "endpoints": self.endpoints},
         }))
         return {"RELAY_CONFIG": str(path), "RELAY_STATE": str(self.state)}
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,91 @@
+"""The operators' door: what it answers, how soon, and whom it lets wait."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Iterator
+from http.client import HTTPConnection
+
+import pytest
+
+from garnetrelay.config import Address
+from garnetrelay.health import Health
+from garnetrelay.management import Door, routes
+from tests.processes import Process, free_port
+from tests.sockets import PATIENCE, Field, http
+
+SOCKETS = 128  # descriptors: eight callers
+
+
+@pytest.fixture
+def health() -> Health:
+    return Health()
+
+
+@pytest.fixture
+def port(health: Health) -> Iterator[int]:
+    door = Door(routes(health), SOCKETS)
+    yield door.start(Address("127.0.0.1", 0))[1]
+    door.close()
+
+
+async def test_healthcheck_says_yes_only_while_the_process_can_serve(health: Health, port: int) -> None:
+    assert (await http(port, "GET /healthcheck"))[0] == 503
+    health.ready = True
+    assert (await http(port, "GET /healthcheck?from=probe"))[0] == 200
+
+
+@pytest.mark.parametrize(("line", "status"), [
+    ("GET /", 404), ("GET /healthcheck/", 404), ("DELETE /healthcheck", 405), ("HEAD /healthcheck", 405),
+    ("GET healthcheck\x01", 400),
+])
+async def test_unknown_paths_methods_and_garbage_are_told_so(port: int, line: str, status: int) -> None:
+    assert (await http(port, line))[0] == status
+
+
+async def test_answers_come_while_the_relays_own_loop_is_in_a_long_turn(field: Field) -> None:
+    await field.start()
+    door = Door(routes(field.relays[0].health), SOCKETS)
+    try:
+        port = door.start(Address("127.0.0.1", 0))[1]
+        call = HTTPConnection("127.0.0.1", port, timeout=PATIENCE)
+        call.request("GET", "/healthcheck")
+        assert call.getresponse().status == 200  # it blocks: nothing else runs in this loop meanwhile
+        call.close()
+    finally:
+        door.close()
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /healthche"])
+async def test_silent_callers_make_way_for_good_ones(health: Health, port: int, sent: bytes) -> None:
+    health.ready = True
+    silent = []
+    for _ in range(3 * SOCKETS // 16):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent)
+        silent.append((reader, writer))
+        assert (await http(port, "GET /healthcheck"))[0] == 200
+    async with asyncio.timeout(PATIENCE):
+        assert await silent[0][0].read() == b""  # the one longest here went first
+    for _, writer in silent:
+        writer.transport.abort()
+
+
+async def test_half_a_call_is_answered_in_the_end(port: int) -> None:
+    assert (await http(port, "PUT /healthcheck HTTP/1.1\r\nContent-Length: 9\r\nX: y"))[0] == 408
+
+
+async def test_a_body_that_never_ends_is_not_read(port: int) -> None:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"PUT /healthcheck HTTP/1.1\r\nHost: door\r\nContent-Length: 999999\r\n\r\n" + bytes(20_000))
+    async with asyncio.timeout(PATIENCE):
+        assert (await reader.readline()).split()[1] == b"413"
+    writer.transport.abort()
+
+
+async def test_process_serves_the_door_that_its_configuration_names(field: Field, process: Process) -> None:
+    process.mgmt = free_port()
+    await process.start()
+    assert (await http(process.mgmt, "GET /healthcheck"))[0] == 200
+    assert await process.end(signal.SIGTERM) == 0
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,56 +5,16 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 import time
-from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
-import pytest_asyncio
 
 from garnetrelay.journal import Entry, Journal
+from tests.processes import ROOT, Process
 from tests.sockets import PATIENCE, Client, Field, Platform
 
-ROOT = Path(__file__).parent.parent
-
-
-class Process:
-    """A relay that can be killed, and started again."""
-
-    def __init__(self, field: Field) -> None:
-        self.field = field
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
-        self.child: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> Client:
-        self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "garnetrelay", cwd=ROOT,
-            env={**os.environ, **self.field.environment(self.port)}, stderr=asyncio.subprocess.PIPE)
-        assert self.child.stderr is not None
-        async with asyncio.timeout(PATIENCE):
-            while b"serves on" not in (line := await self.child.stderr.readline()):
-                assert line, "the relay did not start"
-        return await Client.connect(self.port)
-
-    async def end(self, number: signal.Signals) -> int:
-        assert self.child is not None
-        if self.child.returncode is None:
-            self.child.send_signal(number)
-        async with asyncio.timeout(PATIENCE):
-            return await self.child.wait()
-
-
-@pytest_asyncio.fixture
-async def process(field: Field) -> AsyncIterator[Process]:
-    made = Process(field)
-    yield made
-    if made.child is not None and made.child.returncode is None:
-        await made.end(signal.SIGKILL)
-
 
 async def test_killed_relay_still_owes_each_message_its_end(field: Field, process: Process) -> None:
     client = await process.start()
