--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -19,7 +19,7 @@
 async def serve(config: Config) -> None:
     """Run until a signal has ended the relay."""
     relay = Relay(config)
-    door = Door(routes(relay.health), config.sockets)
+    door = Door(routes(relay.health, relay.metrics), config.sockets)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -59,11 +59,12 @@
     """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it."""
 
     def __init__(self, host: str, stop_at: int, prepare: Callable[[], Ask | None],
-                 done: Callable[[Outcome], None]) -> None:
+                 done: Callable[[Outcome], None], written: Callable[[], None] = lambda: None) -> None:
         self.host = host
         self.stop_at = stop_at
         self.prepare = prepare
         self._done = done
+        self.written = written  # heard once, when the kernel has taken the request's last byte
         self.ended = False
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None
@@ -156,6 +157,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # pause_writing: not whole yet; resume_writing: whole now
         self.pool.open.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -194,6 +196,10 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    def resume_writing(self) -> None:
+        if self.exchange is not None:
+            self.exchange.written()
+
     def written_in_full(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() == 0
 
@@ -213,6 +219,8 @@
         data += self.http.send(h11.EndOfMessage()) or b""
         assert self.transport is not None
         self.transport.write(data)
+        if self.written_in_full() and not self.transport.is_closing():
+            exchange.written()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
--- a/garnetrelay/management.py
+++ b/garnetrelay/management.py
@@ -17,6 +17,7 @@
 
 from garnetrelay.config import Address
 from garnetrelay.health import Health
+from garnetrelay.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +27,7 @@
 BACKLOG = 128
 STACK = 512 * 1024  # bytes: the thread's own, as memory is short
 PLAIN = "text/plain; charset=utf-8"
+EXPOSITION = "text/plain; version=0.0.4; charset=utf-8"
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,12 +43,15 @@
 Routes = Mapping[str, Mapping[str, Callable[[], Answer]]]  # by path, then method
 
 
-def routes(health: Health) -> Routes:
+def routes(health: Health, metrics: Metrics) -> Routes:
     """All that operators can ask."""
     def healthcheck() -> Answer:
         return Answer(200, "serving\n") if health.serving else Answer(503, f"{health}\n")
 
-    return {"/healthcheck": {"GET": healthcheck}}
+    def stats() -> Answer:
+        return Answer(200, metrics.render(), EXPOSITION)
+
+    return {"/healthcheck": {"GET": healthcheck}, "/stats": {"GET": stats}}
 
 
 class Caller(asyncio.Protocol):
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -18,6 +18,7 @@
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.health import Health
 from garnetrelay.journal import Entry, Journal
+from garnetrelay.metrics import End, Metrics
 from garnetrelay.notices import Notices
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
@@ -29,6 +30,7 @@
 STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
 WATCH_AGAIN = 0.2  # seconds after a watch has ended, to the next: what changes counts as told 6 s later
 REPORT_EVERY = 5.0  # seconds between lines of figures in the log
+OBSERVE_EVERY = 0.2  # seconds between looks at what the Pacer avoids: a figure may be late by 0.5
 REPORT_DESTS = 3  # destinations named there
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 
@@ -38,6 +40,7 @@
     """A message in our hands, until its end is told and its last attempt has an outcome."""
 
     ref: str
+    klass: str
     key: str | None
     body: bytes
     attempts: int = 0
@@ -72,8 +75,10 @@
         self.alarm: asyncio.TimerHandle | None = None
         self.report: asyncio.TimerHandle | None = None
         self.rewatch: asyncio.TimerHandle | None = None
+        self.observe: asyncio.TimerHandle | None = None
         self.outcomes: Counter[str] = Counter()  # since the last report
         self.health = Health()
+        self.metrics = Metrics(config.class_names)
         self.stopping = False
         self.finished = asyncio.Event()
         # Half of the descriptors for hosts, a third for clients; the rest for discovery and files.
@@ -92,6 +97,7 @@
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
         self.report = asyncio.get_running_loop().call_later(REPORT_EVERY, self._report)
+        self._observe()
         address = await self.server.start(self.config.listen.host, self.config.listen.port)
         self.health.ready = True
         return address
@@ -124,7 +130,7 @@
             self.finished.set()
 
     def close(self) -> None:
-        for timer in (self.alarm, self.report, self.rewatch):
+        for timer in (self.alarm, self.report, self.rewatch, self.observe):
             if timer is not None:
                 timer.cancel()
         self.discovery.close()
@@ -145,6 +151,11 @@
             log.info("backlog: %s", line)
         self.report = asyncio.get_running_loop().call_later(REPORT_EVERY, self._report)
 
+    def _observe(self) -> None:
+        """Note what only the Pacer knows: the figures are read by another thread."""
+        self.metrics.cluster_size, self.metrics.cluster_unhealthy = self.pacer.cluster(time.monotonic_ns())
+        self.observe = asyncio.get_running_loop().call_later(OBSERVE_EVERY, self._observe)
+
     # ---- the start
 
     def _read_known(self) -> None:
@@ -166,7 +177,7 @@
                 log.error("journal: message %s has the unknown class %s", entry.ref, entry.klass)
                 self._end(entry.ref, "dead", 0)
             else:
-                self.held[entry.ref] = Held(entry.ref, entry.key, entry.body, entry.attempts)
+                self._hold(Held(entry.ref, entry.klass, entry.key, entry.body, entry.attempts))
                 self.inbox.append(self._recovered(entry, now_ms))
         if self.journal.entries:
             log.info("picked up %d messages and %d notices", len(self.held), len(self.notices.queue))
@@ -278,16 +289,19 @@
             match ends.get(ref):
                 case io.Refuse(_, hold_off):
                     reply.busy(hold_off // MS)
+                    self.metrics.ended(End.DEFERRED, request.klass)
                     continue
                 case io.Fail():
                     reply.error("failed")
+                    self.metrics.ended(End.ERRORED, request.klass)
                     continue
             entry = Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body)
             if not reply.wanted or not self.journal.taken(entry):
                 reply.busy(0)
+                self.metrics.ended(End.DEFERRED, request.klass)
                 self._post(io.Withdrawn(ref))
                 continue
-            self.held[ref] = Held(ref, request.key, request.body)
+            self._hold(Held(ref, request.klass, request.key, request.body))
             reply.ok()
 
     def _carry_out(self, action: io.Action) -> None:
@@ -346,15 +360,15 @@
             self.outcomes["stale" if outcome.stale else outcome.status.name.lower()] += 1
             if written:
                 self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
-            if outcome.finished:
-                self._finish(message, None, 0)
+            if outcome.finished:  # with any other status it is over without us: withdrawn, or out of time
+                self._finish(message, None, 0, End.ANSWERED if outcome.status is io.Status.OK else None)
             if message.over:
                 self.held.pop(message.ref, None)
             self._post(io.Verdict(
                 send.call, attempt, send.host, outcome.status, time.monotonic_ns() - started,
                 outcome.finished, outcome.wait, outcome.no_slot, outcome.report, outcome.stale))
 
-        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done)
+        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, self.metrics.sent)
         self.hosts.begin(message.exchange)
 
     def _probe(self, probe: io.Probe) -> None:
@@ -372,20 +386,28 @@
 
     # ---- ends
 
+    def _hold(self, message: Held) -> None:
+        self.held[message.ref] = message
+        self.metrics.current += 1
+
     def _end(self, ref: str, result: str, wait_ms: int) -> None:
         message = self.held.get(ref)
         if message is not None:
-            self._finish(message, result, wait_ms)
+            self._finish(message, result, wait_ms, End.DEFERRED if result == "bounced" else End.ERRORED)
             if message.exchange is None:
                 del self.held[ref]
         elif ref in self.journal.entries:
             self.journal.ended(ref, result, wait_ms)
             self.notices.tell(ref, result, wait_ms)
 
-    def _finish(self, message: Held, result: str | None, wait_ms: int) -> None:
+    def _finish(self, message: Held, result: str | None, wait_ms: int, end: End | None) -> None:
+        """The one place where a message that was taken on ends."""
         if message.over:
             return
         message.over = True
+        self.metrics.current -= 1
+        if end is not None:
+            self.metrics.ended(end, message.klass)
         self.journal.ended(message.ref, result, wait_ms)
         if result is not None:
             self.notices.tell(message.ref, result, wait_ms)
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -717,8 +717,7 @@
                         self.wake_at = min(self.wake_at, when)
                     continue
                 fee = fees[host.zone] if host.zone < len(fees) and len(self.routes[m.dest]) > 1 else 0.0
-                sick = host.bad > SUSPECT and host.retry_at > self.now
-                rank = (sick, fee, host.calls, host.last_sent)
+                rank = (self.is_sick(host, self.now), fee, host.calls, host.last_sent)
                 if best is None or rank < best_rank:
                     best, best_rank = (dest, host), rank
         if best is None:
@@ -780,6 +779,16 @@
                         self.count_call(dest, host)
                         self.actions.append(Probe(host.name, self.now + PROBE_TIME))
 
+    def is_sick(self, host: Host, now: int) -> bool:
+        """A worse choice than others for now."""
+        return host.bad > SUSPECT and host.retry_at > now
+
+    def cluster(self, now: int) -> tuple[int, int]:
+        """The endpoints that the list names, and how many of them are avoided: those that drain, that are the
+        worse choice, or whose destination is in an outage."""
+        return len(self.hosts), sum(not host.usable or dest.out or self.is_sick(host, now)
+                                    for dest, host in self.hosts.values())
+
     def backlog(self, most: int) -> list[str]:
         """What holds up the destinations that most messages wait for: for the people on call."""
         lines = []
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,115 @@
+"""The figures: each event once, at the moment it happens."""
+
+from __future__ import annotations
+
+import re
+
+from garnetrelay.metrics import End, Metrics
+from starlingwick import interface as io
+from tests.helpers import S, Relay, entry
+from tests.sockets import Field, endpoint, listing, until
+
+
+def read(metrics: Metrics) -> dict[str, int]:
+    """The figures by name, with the class behind it."""
+    figures = {}
+    for line in metrics.render().splitlines():
+        if not line.startswith("#"):
+            match = re.fullmatch(r'relay_(\w+)(?:\{group="(.*)"\})? (\d+)', line)
+            assert match is not None, line
+            figures["/".join(filter(None, match.groups()[:2]))] = int(match[3])
+    return figures
+
+
+def test_every_class_has_its_lines_from_the_start() -> None:
+    figures = read(Metrics(["filing", "notice"]))
+    assert figures == dict.fromkeys((
+        "answered_total/filing", "answered_total/notice", "deferred_total/filing", "deferred_total/notice",
+        "errored_total/filing", "errored_total/notice", "sends_total", "current", "cluster_size",
+        "cluster_unhealthy"), 0)
+
+
+def test_a_class_name_cannot_break_its_line() -> None:
+    metrics = Metrics(['odd"\\\n'])
+    metrics.ended(End.ERRORED, 'odd"\\\n')
+    assert 'relay_errored_total{group="odd\\"\\\\\\n"} 1\n' in metrics.render()
+
+
+def changed(metrics: Metrics, before: dict[str, int]) -> dict[str, int]:
+    """What of the messages' figures has changed, and by how much."""
+    return {name: value - before[name] for name, value in read(metrics).items()
+            if value != before[name] and not name.startswith("cluster")}
+
+
+async def test_a_message_counts_once_however_often_it_is_sent(field: Field) -> None:
+    client = await field.start()
+    metrics = field.relays[0].metrics
+    before = read(metrics)
+    assert await client.enqueue("m1") == b"OK"
+    (await field.host.next_call()).answer(500)
+    again = await field.host.next_call()
+    assert changed(metrics, before) == {"current": 1, "sends_total": 2}
+    again.answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert changed(metrics, before) == {"answered_total/safe": 1, "sends_total": 2}
+
+
+async def test_failed_refused_and_withdrawn_messages_are_told_apart(field: Field) -> None:
+    client = await field.start()
+    relay = field.relays[0]
+    before = read(relay.metrics)
+    assert await client.enqueue("dead", "unsafe") == b"OK"
+    (await field.host.next_call()).answer(500)
+    assert (await field.platform.next_notice())["result"] == "dead"
+    assert changed(relay.metrics, before) == {"errored_total/unsafe": 1, "sends_total": 1}
+    assert await client.enqueue("gone") == b"OK"
+    (await field.host.next_call()).answer(410)  # over without us: it ended nowhere
+    await until(lambda: not relay.held)
+    assert changed(relay.metrics, before) == {"errored_total/unsafe": 1, "sends_total": 2}
+    relay.on_news(relay.reader.read({"index": 42, "snapshot": True, "endpoints": []}))
+    assert await client.enqueue("late", d=200) == b"OK"
+    assert (await field.platform.next_notice())["result"] == "bounced"
+    assert changed(relay.metrics, before) == {
+        "errored_total/unsafe": 1, "sends_total": 2, "deferred_total/safe": 1}
+
+
+async def test_a_newcomer_that_cannot_be_kept_is_refused(field: Field) -> None:
+    field.limits["disk_mb"] = 0.005
+    client = await field.start()
+    before = read(field.relays[0].metrics)
+    assert "BUSY" in await client.enqueue("m1", body=bytes(4000))
+    assert changed(field.relays[0].metrics, before) == {"deferred_total/safe": 1}
+
+
+async def test_what_an_earlier_process_took_on_is_current_and_counts_where_it_ends(field: Field) -> None:
+    client = await field.start()
+    assert await client.enqueue("m1") == b"OK"
+    await field.host.next_call()
+    first = field.relays.pop()
+    first.server.drain()
+    first.close()
+    await field.start()
+    metrics = field.relays[0].metrics
+    assert read(metrics)["current"] == 1
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert read(metrics)["answered_total/safe"] == 1 and read(metrics)["current"] == 0
+
+
+async def test_draining_endpoints_are_listed_and_avoided(field: Field) -> None:
+    field.endpoints.append(endpoint(field.host, "s-2"))
+    await field.start()
+    relay = field.relays[0]
+    await until(lambda: read(relay.metrics)["cluster_size"] == 2)
+    assert read(relay.metrics)["cluster_unhealthy"] == 0
+    (await field.platform.next_watch()).line(listing(42, endpoint(field.host, "s-2", "Terminating")))
+    await until(lambda: read(relay.metrics)["cluster_unhealthy"] == 1)
+    assert read(relay.metrics)["cluster_size"] == 2
+
+
+def test_endpoints_of_a_destination_in_an_outage_are_avoided() -> None:
+    relay = Relay(entry("a"), entry("b"), entry("c", dest=2))
+    assert relay.pacer.cluster(relay.now) == (3, 0)
+    relay.turn(relay.message())
+    relay.try_all(io.Status.CONNECT_FAILED, 3)
+    assert relay.pacer.cluster(relay.now + S) == (3, 2)
