--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -19,8 +19,11 @@
 async def serve(config: Config) -> None:
     """Run until a signal has ended the relay."""
     relay = Relay(config)
-    door = Door(routes(relay.health, relay.metrics), config.sockets)
     loop = asyncio.get_running_loop()
+    door = Door(routes(
+        relay.health, relay.metrics,
+        drain=lambda: loop.call_soon_threadsafe(relay.drain),
+        undrain=lambda: loop.call_soon_threadsafe(relay.undrain)), config.sockets)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
     loop.add_signal_handler(signal.SIGHUP, reload, relay)
--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -225,7 +225,10 @@
             if name == b"ENQUEUE":
                 self.server.handler(parse_enqueue(words), reply)
             elif name == b"PING" and len(words) <= 2:
-                reply.pong(words[1] if len(words) == 2 else None)
+                if self.server.sending_away:
+                    reply.error("drained")
+                else:
+                    reply.pong(words[1] if len(words) == 2 else None)
             else:
                 raise Rejected(f"unknown command '{words[0][:40].decode('ascii', 'replace')}'")
         except Rejected as error:
@@ -292,7 +295,9 @@
         self.most = most
         self.connections: dict[Connection, None] = {}  # longest without a request first
         self.silent = 0  # connections closed without a request, so far
-        self.draining = False
+        self.stopped = False  # no new connections, for good
+        self.draining = False  # connections are closed as soon as each is between requests
+        self.sending_away = False  # and checks hear that clients should go elsewhere
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
@@ -320,10 +325,26 @@
                 return True
         return False
 
-    def drain(self) -> None:
-        """Take no new connection, and close the open ones as soon as each is between requests."""
-        self.draining = True
+    def send_away(self) -> None:
+        """Operators drain this relay: it listens on, as checks must hear so; clients are to go elsewhere."""
+        self.sending_away = True
+        self._close_open()
+
+    def welcome(self) -> None:
+        """The end of that, unless the planned end has begun meanwhile."""
+        self.sending_away = False
+        self.draining = self.stopped
+
+    def stop(self) -> None:
+        """The planned end: no new connection, and the open ones close as soon as each is between requests."""
+        self.stopped = True
         if self._server is not None:
             self._server.close()
+        self._close_open()
+
+    def _close_open(self) -> None:
+        """A connection without a request yet is not closed: one is on its way, or its time is soon up."""
+        self.draining = True
         for connection in list(self.connections):
-            connection.close_between_requests()
+            if connection.timer is None:
+                connection.close_between_requests()
--- a/garnetrelay/health.py
+++ b/garnetrelay/health.py
@@ -4,14 +4,17 @@
 
 
 class Health:
-    """Written by the relay, and read from any thread."""
+    """Two flags that any thread may read. The relay writes the first, the operators' door the second."""
 
     def __init__(self) -> None:
         self.ready = False  # the start is done, and the planned end has not begun
+        self.drained = False  # operators send clients away
 
     @property
     def serving(self) -> bool:
-        return self.ready
+        return self.ready and not self.drained
 
     def __str__(self) -> str:
-        return "serving" if self.serving else "starting or ending"
+        if not self.ready:
+            return "starting or ending"
+        return "drained" if self.drained else "serving"
--- a/garnetrelay/management.py
+++ b/garnetrelay/management.py
@@ -43,15 +43,33 @@
 Routes = Mapping[str, Mapping[str, Callable[[], Answer]]]  # by path, then method
 
 
-def routes(health: Health, metrics: Metrics) -> Routes:
-    """All that operators can ask."""
+def routes(health: Health, metrics: Metrics, drain: Callable[[], object],
+           undrain: Callable[[], object]) -> Routes:
+    """All that operators can ask. The drain is said to be on, or over, at once; ``drain`` and ``undrain``
+    make it so, and must not wait for it."""
+
     def healthcheck() -> Answer:
         return Answer(200, "serving\n") if health.serving else Answer(503, f"{health}\n")
 
     def stats() -> Answer:
         return Answer(200, metrics.render(), EXPOSITION)
 
-    return {"/healthcheck": {"GET": healthcheck}, "/stats": {"GET": stats}}
+    def fail() -> Answer:
+        health.drained = True
+        drain()
+        return Answer(200, "draining\n")
+
+    def ok() -> Answer:
+        health.drained = False
+        undrain()
+        return Answer(200, "serving again\n")
+
+    return {
+        "/healthcheck": {"GET": healthcheck},
+        "/stats": {"GET": stats},
+        "/healthcheck/fail": {"PUT": fail},
+        "/healthcheck/ok": {"PUT": ok},
+    }
 
 
 class Caller(asyncio.Protocol):
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -32,7 +32,7 @@
 REPORT_EVERY = 5.0  # seconds between lines of figures in the log
 OBSERVE_EVERY = 0.2  # seconds between looks at what the Pacer avoids: a figure may be late by 0.5
 REPORT_DESTS = 3  # destinations named there
-DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
+LISTEN_ON = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 
 
 @dataclass(slots=True, eq=False)
@@ -112,7 +112,7 @@
         at = time.monotonic_ns() + STOP_AFTER
         self._post(io.Stopping(at))
         loop = asyncio.get_running_loop()
-        loop.call_later(DRAIN_AFTER, self._drain)
+        loop.call_later(LISTEN_ON, self._stop_listening)
         loop.call_at(at / SECOND, self.finished.set)
 
     def move(self, address: Address) -> None:
@@ -121,12 +121,24 @@
         self.discovery.move(address)
         self.notices.move(address)
 
-    def _drain(self) -> None:
-        self.server.drain()
+    def drain(self) -> None:
+        """Send clients away, and serve on what is here; until ``undrain``."""
+        if not self.server.sending_away:
+            log.info("drained by operators: %d connections, %d messages held",
+                     len(self.server.connections), len(self.held))
+        self.server.send_away()
+
+    def undrain(self) -> None:
+        if self.server.sending_away:
+            log.info("end of the drain")
+        self.server.welcome()
+
+    def _stop_listening(self) -> None:
+        self.server.stop()
         self._end_if_idle()
 
     def _end_if_idle(self) -> None:
-        if self.server.draining and not self.held and not self.notices.queue:
+        if self.server.stopped and not self.held and not self.notices.queue:
             self.finished.set()
 
     def close(self) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -253,7 +253,7 @@
 
     async def stop(self) -> None:
         for relay in self.relays:
-            relay.server.drain()
+            relay.server.stop()
             relay.close()
         await self.host.stop()
         await self.platform.stop()
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -26,7 +26,7 @@
 
 @pytest.fixture
 def port(health: Health) -> Iterator[int]:
-    door = Door(routes(health, Metrics(["filing"])), SOCKETS)
+    door = Door(routes(health, Metrics(["filing"]), lambda: None, lambda: None), SOCKETS)
     yield door.start(Address("127.0.0.1", 0))[1]
     door.close()
 
@@ -39,6 +39,7 @@
 
 @pytest.mark.parametrize(("line", "status"), [
     ("GET /", 404), ("GET /healthcheck/", 404), ("DELETE /healthcheck", 405), ("HEAD /healthcheck", 405),
+    ("GET /healthcheck/fail", 405),
     ("GET healthcheck\x01", 400),
 ])
 async def test_unknown_paths_methods_and_garbage_are_told_so(port: int, line: str, status: int) -> None:
@@ -48,7 +49,7 @@
 async def test_answers_come_while_the_relays_own_loop_is_in_a_long_turn(field: Field) -> None:
     await field.start()
     relay = field.relays[0]
-    door = Door(routes(relay.health, relay.metrics), SOCKETS)
+    door = Door(routes(relay.health, relay.metrics, relay.drain, relay.undrain), SOCKETS)
     try:
         port = door.start(Address("127.0.0.1", 0))[1]
         call = HTTPConnection("127.0.0.1", port, timeout=PATIENCE)
@@ -59,6 +60,16 @@
         door.close()
 
 
+async def test_healthcheck_says_no_during_a_drain(health: Health, port: int) -> None:
+    health.ready = True
+    for _ in range(2):
+        assert (await http(port, "PUT /healthcheck/fail"))[0] == 200
+        status, text = await http(port, "GET /healthcheck")
+        assert status == 503 and "drained" in text
+        assert (await http(port, "PUT /healthcheck/ok"))[0] == 200
+        assert (await http(port, "GET /healthcheck"))[0] == 200
+
+
 @pytest.mark.parametrize("sent", [b"", b"GET /healthche"])
 async def test_silent_callers_make_way_for_good_ones(health: Health, port: int, sent: bytes) -> None:
     health.ready = True
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -86,7 +86,7 @@
     assert await client.enqueue("m1") == b"OK"
     await field.host.next_call()
     first = field.relays.pop()
-    first.server.drain()
+    first.server.stop()
     first.close()
     await field.start()
     metrics = field.relays[0].metrics
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -413,7 +413,7 @@
     connection.transport.pause_reading()  # the loop has not come to it yet
     client.write("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
     await client.writer.drain()
-    server.drain()
+    server.stop()
     connection.transport.resume_reading()
     assert await client.read() == b"OK" and await client.read() is None
 
