--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -30,8 +30,7 @@
     try:
         if config.mgmt is not None:
             log.info("operators' door on %s port %d", *door.start(config.mgmt))
-        host, port = await relay.start()
-        log.info("%s serves on %s port %d", config.name, host, port)
+        await relay.start()
         await relay.finished.wait()
     finally:
         door.close()
--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,10 +17,12 @@
 
 MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 16 * 1024  # a command with all its framing
+FIRST_REQUEST = 0.5  # seconds in which who has just connected or asked may still have something under way
 REQUEST_TIME = 2.5  # seconds for a whole request to come: a peer is owed an answer or a close within 3
 IDLE_TIME = 2.0  # seconds without a request after which a connection may be closed to make room
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
+BACKLOG = 512
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -298,14 +301,19 @@
         self.stopped = False  # no new connections, for good
         self.draining = False  # connections are closed as soon as each is between requests
         self.sending_away = False  # and checks hear that clients should go elsewhere
+        self.address: tuple[str, int] | None = None  # since it has begun to listen
         self._server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> tuple[str, int]:
-        """Listen; the address that came of it."""
+    async def start(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
+        """Listen, at an inherited socket where there is one; the address that came of it."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=512)
+        if inherited is not None:
+            self._server = await loop.create_server(lambda: Connection(self), sock=inherited, backlog=BACKLOG)
+        else:
+            self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=BACKLOG)
         name = self._server.sockets[0].getsockname()
-        return str(name[0]), int(name[1])
+        self.address = str(name[0]), int(name[1])
+        return self.address
 
     def touch(self, connection: Connection) -> None:
         """A request has come on a connection: it is the last that would go."""
@@ -342,6 +350,14 @@
             self._server.close()
         self._close_open()
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nobody is owed an answer or about to ask: the process may end."""
+        lately = asyncio.get_running_loop().time() - FIRST_REQUEST
+        return not any(not connection.lost and not connection.closing
+                       and (connection.replies or connection.unread or connection.quiet_from > lately)
+                       for connection in self.connections)
+
     def _close_open(self) -> None:
         """A connection without a request yet is not closed: one is on its way, or its time is soon up."""
         self.draining = True
--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -49,6 +49,7 @@
     mgmt: Address | None  # the operators' door, where there is one
     state: Path
     seed: int
+    inherited_fd: int | None  # the platform's listening socket for clients
     sockets: int
     disk_bytes: int
     memory_bytes: int
@@ -98,6 +99,7 @@
     # The protocol carries one message in a call, whatever the simulator's kinds allow.
     kinds = tuple(dataclasses.replace(kind, per_call=1) for kind in settings.kinds)
     mgmt = environment.get("RELAY_MGMT") or raw.get("mgmt")
+    inherited = environment.get("RELAY_INHERITED_FD")
     return Config(
         name=str(environment.get("RELAY_NAME") or raw["name"]),
         listen=Address.parse(environment.get("RELAY_LISTEN") or raw["listen"]),
@@ -106,6 +108,7 @@
         state=state,
         # Any text will do for a seed; a hash keeps it the same from run to run.
         seed=int.from_bytes(hashlib.sha256(str(raw.get("seed", "")).encode()).digest()[:8]),
+        inherited_fd=int(inherited) if inherited else None,
         sockets=int(limits.get("sockets", 1024)),
         disk_bytes=int(float(limits.get("disk_mb", 64)) * 1_000_000),
         memory_bytes=int(float(limits.get("memory_mb", 192)) * 1_000_000),
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -397,6 +397,10 @@
         for connection in self.idle.pop(host, ()):
             connection.abort()
 
+    def close_all_idle(self) -> None:
+        for host in list(self.idle):
+            self.close_idle(host)
+
     def close(self) -> None:
         """Drop every connection; what was out on them has no outcome."""
         for task in self.opening:
--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -1,8 +1,9 @@
 """The durable record of what this relay has taken on.
 
-One append-only file. Each record carries its length and a checksum, and goes out in one unbuffered write:
-the kernel keeps it when the process is killed, with no need to sync. What has ended makes way when the file
-is written anew beside the old one and renamed over it; the two together stay within the disk limit.
+One append-only file, locked while it is open: who holds the lock owns the messages in it, and the kernel
+frees it when its holder dies. Each record carries its length and a checksum, and goes out in one unbuffered
+write: the kernel keeps it when the process is killed, with no need to sync. What has ended makes way when the
+file is written anew beside the old one and renamed over it; the two together stay within the disk limit.
 
 A record is a JSON object, and behind a line feed the message's body where it has one:
 ``taken`` (also a message's whole state, after the file was written anew), ``try`` (an attempt's first byte is
@@ -11,6 +12,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import logging
 import os
@@ -53,20 +55,26 @@
 class Journal:
     """Appends records, keeps the live entries, and makes room."""
 
-    def __init__(self, folder: Path, disk_bytes: int) -> None:
-        self.path = folder / "journal"
-        self.spare = folder / "journal.new"
+    def __init__(self, folder: Path, disk_bytes: int, name: str = "journal", create: bool = True) -> None:
+        """BlockingIOError where another process has it, FileNotFoundError where it is gone."""
+        self.path = folder / name
+        self.spare = folder / f"{name}.new"
         self.most = disk_bytes - 8 * BLOCK
         self.entries: dict[str, Entry] = {}
         self.live = 0  # bytes that the live entries would take in a new file, later records included
         self.broken = False  # a write failed and could not be undone: append nothing behind it
+        self.file = _open_locked(self.path, os.O_CREAT if create else 0)
         self.spare.unlink(missing_ok=True)  # a rewrite that a kill cut short
-        self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
         self.size = self._load()
 
     def close(self) -> None:
+        """Let go of it: whoever takes it next owns what is in it."""
         os.close(self.file)
 
+    def remove(self) -> None:
+        self.path.unlink(missing_ok=True)  # under its lock: nobody can have taken it meanwhile
+        self.close()
+
     # ---- what happens to a message
 
     def has_room(self, body_length: int) -> bool:
@@ -157,6 +165,7 @@
             return
         size = 0
         try:
+            fcntl.flock(new, fcntl.LOCK_EX | fcntl.LOCK_NB)  # in the old one's place, it must be ours at once
             for entry in self.entries.values():
                 data = _pack(*_whole(entry))
                 _write_all(new, data)
@@ -207,6 +216,19 @@
                 entry.uncertain = True
 
 
+def _open_locked(path: Path, create: int) -> int:
+    while True:
+        file = os.open(path, os.O_RDWR | os.O_APPEND | os.O_CLOEXEC | create, 0o600)
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            if os.path.samestat(os.fstat(file), os.stat(path)):
+                return file
+        except OSError:
+            os.close(file)
+            raise
+        os.close(file)  # it was written anew between our opening it and our lock
+
+
 def _whole(entry: Entry) -> tuple[dict[str, Any], bytes]:
     return ({"t": "taken", **{name: getattr(entry, name) for name in Entry.__slots__ if name != "body"}},
             entry.body)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections import Counter
 from dataclasses import dataclass
@@ -16,10 +17,12 @@
 from garnetrelay.clients import Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
+from garnetrelay.handover import Handover
 from garnetrelay.health import Health
-from garnetrelay.journal import Entry, Journal
+from garnetrelay.journal import Entry
 from garnetrelay.metrics import End, Metrics
 from garnetrelay.notices import Notices
+from garnetrelay.ownership import LEARNED_SHARE, Ownership
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
 
@@ -30,6 +33,8 @@
 STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
 WATCH_AGAIN = 0.2  # seconds after a watch has ended, to the next: what changes counts as told 6 s later
 REPORT_EVERY = 5.0  # seconds between lines of figures in the log
+LOOK_EVERY = 0.02  # seconds between looks at what another process of this relay has let go
+LOOK_SELDOM = 0.25  # where there is none
 OBSERVE_EVERY = 0.2  # seconds between looks at what the Pacer avoids: a figure may be late by 0.5
 REPORT_DESTS = 3  # destinations named there
 LISTEN_ON = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
@@ -64,7 +69,12 @@
         self.config = config
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
-        self.journal = Journal(config.state, config.disk_bytes)
+        shared = config.inherited_fd is not None  # another process may come beside us, or be there already
+        self.journal = Ownership(config.state, config.disk_bytes, shared)
+        self.handover = Handover(config.state, config.disk_bytes // LEARNED_SHARE) if shared else None
+        self.overseer: asyncio.Task[None] | None = None
+        self.passed_on = False  # another process sends and serves now
+        self.elsewhere = 0  # calls that the process before us still has out
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.zones: dict[str, int] = {}  # by host
         self.dests: set[int] = set()  # all that the list has ever named
@@ -76,6 +86,7 @@
         self.report: asyncio.TimerHandle | None = None
         self.rewatch: asyncio.TimerHandle | None = None
         self.observe: asyncio.TimerHandle | None = None
+        self.winding_up: asyncio.TimerHandle | None = None
         self.outcomes: Counter[str] = Counter()  # since the last report
         self.health = Health()
         self.metrics = Metrics(config.class_names)
@@ -88,19 +99,25 @@
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
         self.notices = Notices(config.discovery, self.journal.told)
 
-    async def start(self) -> tuple[str, int]:
-        """Pick up what an earlier life left, then listen; the address that clients may use."""
+    async def start(self) -> None:
+        """Pick up what an earlier life left, then listen. Where another process of this relay still sends,
+        that comes when it lets go: see ``_oversee``."""
         self.notices.start()
         self._read_known()
-        self._recover()
         self._turn()
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
         self.report = asyncio.get_running_loop().call_later(REPORT_EVERY, self._report)
         self._observe()
-        address = await self.server.start(self.config.listen.host, self.config.listen.port)
+        descriptor = self.config.inherited_fd
+        inherited = None if descriptor is None else socket.socket(fileno=descriptor)
+        if self.handover is None or self.handover.take():
+            await self._serve(inherited)
+        else:
+            log.info("waiting for the process before us to let go")
+        if self.handover is not None:
+            self.overseer = asyncio.get_running_loop().create_task(self._oversee(inherited))
         self.health.ready = True
-        return address
 
     def stop(self) -> None:
         """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
@@ -109,11 +126,15 @@
         self.stopping = True
         self.health.ready = False
         log.info("stopping: %d messages held", len(self.held))
-        at = time.monotonic_ns() + STOP_AFTER
-        self._post(io.Stopping(at))
+        now = time.monotonic_ns()
         loop = asyncio.get_running_loop()
-        loop.call_later(LISTEN_ON, self._stop_listening)
-        loop.call_at(at / SECOND, self.finished.set)
+        loop.call_at((now + STOP_AFTER) / SECOND, self.finished.set)
+        if self._has_successor():
+            self._pass_on(now)
+        else:
+            self._post(io.Stopping(now + STOP_AFTER))
+            loop.call_later(LISTEN_ON, self.server.stop)
+        self._wind_up()
 
     def move(self, address: Address) -> None:
         """SIGHUP: discovery and notices are at another address from now on."""
@@ -133,22 +154,28 @@
             log.info("end of the drain")
         self.server.welcome()
 
-    def _stop_listening(self) -> None:
-        self.server.stop()
-        self._end_if_idle()
-
-    def _end_if_idle(self) -> None:
-        if self.server.stopped and not self.held and not self.notices.queue:
+    def _wind_up(self) -> None:
+        """Leave as soon as nothing is left to do here."""
+        if self.passed_on:
+            self._hand_over()
+        if (self.server.stopped and self.server.quiet and not self.newcomers and not self.held
+                and not self.notices.queue):
             self.finished.set()
+        else:
+            self.winding_up = asyncio.get_running_loop().call_later(LOOK_EVERY, self._wind_up)
 
     def close(self) -> None:
-        for timer in (self.alarm, self.report, self.rewatch, self.observe):
+        for timer in (self.alarm, self.report, self.rewatch, self.observe, self.winding_up):
             if timer is not None:
                 timer.cancel()
+        if self.overseer is not None:
+            self.overseer.cancel()
         self.discovery.close()
         self.notices.close()
         self.hosts.close()
         self.journal.close()
+        if self.handover is not None:
+            self.handover.close()
 
     def _report(self) -> None:
         """Figures for the people on call: what we hold, what came back, and what holds up the rest."""
@@ -180,9 +207,10 @@
         self._place(news)
         self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
 
-    def _recover(self) -> None:
+    def _recover(self, entries: list[Entry]) -> None:
+        """Messages and notices that were another process's, or an earlier life's, are ours now."""
         now_ms = time.time_ns() // MS
-        for entry in list(self.journal.entries.values()):
+        for entry in entries:
             if entry.ended is not None:
                 self.notices.tell(entry.ref, entry.ended, entry.wait_ms)
             elif entry.klass not in self.class_numbers:
@@ -190,9 +218,9 @@
                 self._end(entry.ref, "dead", 0)
             else:
                 self._hold(Held(entry.ref, entry.klass, entry.key, entry.body, entry.attempts))
-                self.inbox.append(self._recovered(entry, now_ms))
-        if self.journal.entries:
-            log.info("picked up %d messages and %d notices", len(self.held), len(self.notices.queue))
+                self._post(self._recovered(entry, now_ms))
+        if entries:
+            log.info("picked up %d messages and notices", len(entries))
 
     def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
         if entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
@@ -212,6 +240,86 @@
             ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1,
         )
 
+    async def _serve(self, inherited: socket.socket | None) -> None:
+        """Send and serve from now on: nobody else does."""
+        self._hear()
+        self._recover(list(self.journal.entries.values()))
+        self._turn()
+        host, port = await self.server.start(self.config.listen.host, self.config.listen.port, inherited)
+        log.info("%s serves on %s port %d", self.config.name, host, port)
+
+    # ---- upgrades
+
+    async def _oversee(self, inherited: socket.socket | None) -> None:
+        """Take over when the process before us lets go, then what it still leaves until it is gone."""
+        assert self.handover is not None
+        while not self.server.address:
+            await asyncio.sleep(LOOK_EVERY)
+            if self.handover.take():
+                self.journal.take_up()
+                await self._serve(inherited)
+        while not self.stopping:
+            self._recover(self.journal.take_up())
+            self._hear()
+            if not self.journal.foreign:
+                self.handover.forget()
+            await asyncio.sleep(LOOK_EVERY if self.journal.foreign else LOOK_SELDOM)
+
+    def _hear(self) -> None:
+        """What the process before us leaves: all that it knew, then how each of its calls ended."""
+        if self.handover is None:
+            return
+        for line in self.handover.read():
+            try:
+                if "learned" in line:
+                    self.elsewhere = int(line["out"])
+                    self._post(io.Learned(line["learned"]))
+                else:
+                    self.elsewhere -= 1
+                    self._post(io.Overheard(line["host"], io.Status(line["status"]), line["sent_at"],
+                                            line["cost"], line["wait"], line["stale"]))
+            except (KeyError, TypeError, ValueError) as error:
+                log.warning("handover: a line can't be used: %s", error)
+        if not self.journal.foreign:
+            self.elsewhere = 0
+        if self.pacer.elsewhere != self.elsewhere:
+            self._post(io.Elsewhere(max(0, self.elsewhere)))
+
+    def _has_successor(self) -> bool:
+        """Whether another process stands ready: it holds a journal, and waits for us to let go."""
+        if self.handover is None or not self.server.address:
+            return False
+        self._recover(self.journal.take_up())
+        return bool(self.journal.foreign)
+
+    def _pass_on(self, now: int) -> None:
+        """Let another process send and serve. What is out here ends here; the rest goes over now."""
+        assert self.handover is not None
+        self.server.stop()
+        self._post(io.Stopping(now))
+        self._turn()
+        self.passed_on = True
+        self._hand_over()
+        self.hosts.close_all_idle()
+        self.handover.pass_on({"learned": self.pacer.learned(), "out": len(self.pacer.calls)})
+        log.info("passed on: %d messages still out here", len(self.held))
+
+    def _hand_over(self) -> None:
+        """Move each message that has no call out to a journal that is free for the other process."""
+        refs = [ref for ref, message in self.held.items() if message.exchange is None and not message.over]
+        if not refs:
+            return
+        try:
+            moved = self.journal.hand_over(refs)
+        except OSError as error:
+            log.error("journal: cannot hand over: %s", error.strerror)
+            return
+        for ref in moved:
+            del self.held[ref]
+            self.metrics.current -= 1
+            self._post(io.Withdrawn(ref))
+        log.info("handed over %d messages", len(moved))
+
     # ---- events in
 
     def on_request(self, request: Request, reply: Reply) -> None:
@@ -233,6 +341,9 @@
         if request.ref in self.held:
             reply.ok()  # it is taken on already
             return
+        if self.journal.foreign and self.journal.elsewhere(request.ref):
+            reply.ok()  # by another process of this relay
+            return
         if request.ref in self.newcomers:
             reply.busy(0)
             return
@@ -284,14 +395,14 @@
     # ---- a turn
 
     def _turn(self) -> None:
+        if self.journal.foreign:
+            self._hear()  # a wait told to the other process binds what this turn sends
         self.turn_due = False
         events, self.inbox = self.inbox, []
         actions = self.pacer.handle(time.monotonic_ns(), events)
         self._admit({a.call: a for a in actions if isinstance(a, io.Refuse | io.Fail)})
         for action in actions:
             self._carry_out(action)
-        if self.stopping:
-            self._end_if_idle()
 
     def _admit(self, ends: dict[str, io.Refuse | io.Fail]) -> None:
         """Answer the newcomers: what the Pacer did not end in this turn is taken on, once it is on record."""
@@ -372,6 +483,10 @@
             self.outcomes["stale" if outcome.stale else outcome.status.name.lower()] += 1
             if written:
                 self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
+            if self.passed_on and self.handover is not None:
+                self.handover.tell({
+                    "host": send.host, "status": outcome.status, "sent_at": started, "wait": outcome.wait,
+                    "cost": time.monotonic_ns() - started, "stale": outcome.stale})
             if outcome.finished:  # with any other status it is over without us: withdrawn, or out of time
                 self._finish(message, None, 0, End.ANSWERED if outcome.status is io.Status.OK else None)
             if message.over:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -13,12 +13,13 @@
 import random
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
+from typing import Any
 
 from starlingwick.interface import (
-    Action, Alarm, Arrived, Availability, Close, Decay, Discovery, Event, Fail, HostEntry, ListScope,
-    Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope, Send, Settings,
-    Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
+    Action, Alarm, Arrived, Availability, Close, Decay, Discovery, Elsewhere, Event, Fail, HostEntry, Learned,
+    ListScope, Log, MessageClass, Overheard, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope,
+    Send, Settings, Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
 )
 
 SECOND = 1_000_000_000
@@ -47,6 +48,8 @@
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
+LEARNED_SPANS = ("refusals", "sent", "arrived", "served")
+NOT_LEARNED = ("number", "per_call", "hosts", "calls", *LEARNED_SPANS)  # in the list, or out
 MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
 
@@ -153,6 +156,7 @@
         self.hosts: dict[str, tuple[Destination, Host]] = {}
         self.freed: list[Host] = []  # hosts whose call ended this turn
         self.calls: dict[Call, None] = {}  # out, oldest first: each holds a slot
+        self.elsewhere = 0  # calls out in another process of this relay: they hold slots too
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
         self.ask_at = NEVER
         self.ask_step = 2 * SECOND
@@ -181,6 +185,12 @@
                     self.on_recovered(event)
                 case Stopping():
                     self.stopping_at = event.at
+                case Learned():
+                    self.on_learned(event.facts)
+                case Overheard():
+                    self.on_overheard(event)
+                case Elsewhere():
+                    self.elsewhere = event.calls
                 case Withdrawn():
                     if event.call in self.messages:
                         self.finish(self.messages[event.call])
@@ -438,6 +448,39 @@
             call = Call(dest, host, self.now - event.cost, [])
             self.learn(call, event.status, 0, 0, event.report)
 
+    def learned(self) -> dict[str, Any]:
+        """All that a process that goes on in our place must know, as JSON holds it: of destinations by one of
+        their hosts, of hosts by name. Times are the machine's, the same for both."""
+        dests = {}
+        for name, (dest, _) in self.hosts.items():
+            if dest.hosts[0].name == name:
+                facts = {f.name: getattr(dest, f.name) for f in fields(dest) if f.name not in NOT_LEARNED}
+                dests[name] = facts | {span: list(getattr(dest, span)) for span in LEARNED_SPANS}
+        hosts = {name: [host.last_sent, host.gap, host.last_ok_sent, host.bad, host.retry_at]
+                 for name, (_, host) in self.hosts.items()}
+        return {"started": self.started, "dests": dests, "hosts": hosts}
+
+    def on_learned(self, facts: dict[str, Any]) -> None:
+        """Go on where another process of this relay left off. What it says of hosts unknown to us is moot."""
+        self.started = min(self.started or self.now, facts["started"] or self.now)
+        for name, known in facts["dests"].items():
+            if name in self.hosts:
+                dest = self.hosts[name][0]
+                for field_name, value in known.items():
+                    setattr(dest, field_name, deque(value) if field_name in LEARNED_SPANS else value)
+        for name, values in facts["hosts"].items():
+            if name in self.hosts:
+                host = self.hosts[name][1]
+                host.last_sent, host.gap, host.last_ok_sent, host.bad, host.retry_at = values
+
+    def on_overheard(self, o: Overheard) -> None:
+        if o.host in self.hosts:
+            dest, host = self.hosts[o.host]
+            if not o.stale:
+                self.learn(Call(dest, host, o.sent_at, []), o.status, o.cost, o.wait, None)
+            if o.wait:
+                dest.wait_until = max(dest.wait_until, self.now + o.wait)
+
     def learn(self, call: Call, status: Status, cost: int, wait: int, report: Report | None) -> None:
         """What one call's outcome says of its destination and host."""
         dest, host = call.dest, call.host
@@ -605,6 +648,9 @@
                 dest.ceiling = None
                 self.log(f"ceiling dropped dest={dest.number}")
 
+    def has_slot(self) -> bool:
+        return len(self.calls) + self.elsewhere < self.settings.slots
+
     def most_calls(self, dest: Destination) -> int:
         """Calls out at once: Little's Law, capped."""
         slots = self.settings.slots
@@ -618,7 +664,7 @@
     def gate(self, dest: Destination, host: Host, m: Message | None) -> int:
         """The one gate: may this be sent now? The time to look again if not, NEVER if only an event can tell.
         Without a message: whether the host is open for any."""
-        if not host.usable or len(self.calls) >= self.settings.slots:
+        if not host.usable or not self.has_slot():
             return NEVER
         if self.stopping_at < NEVER and self.now + self.late_after(dest) > self.stopping_at:
             return NEVER  # cut off by the end of the process it might have run: the next life sends it
@@ -651,6 +697,8 @@
         """The last look, just before a call's first byte (a probe's, without ``call``): a connection may
         have taken long to come up, and what was learned since binds it (rules 2, 3 and 6)."""
         self.now = now
+        if now >= self.stopping_at:
+            return False
         m = self.messages.get(call) if call is not None else None
         if m is not None and m.call is not None:
             dest, host = m.call.dest, m.call.host
@@ -688,7 +736,7 @@
         ready.sort(key=lambda m: (-self.urgency(m), m.deadline, m.arrived))
         shut: set[int] = set()  # with hundreds held, a look at each one's gate takes a relay's whole CPU
         for m in ready:
-            if len(self.calls) >= self.settings.slots:
+            if not self.has_slot():
                 break
             if m.call is None and not m.over and m.dest not in shut and not self.place(m):
                 opens = self.opens(m.dest)
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from typing import Any
 
 
 class Repeat(Enum):
@@ -237,6 +238,32 @@
     ran_zone: int
 
 
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What another process of this relay knew when it let go of the right to send: ``Pacer.learned()``."""
+
+    facts: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Overheard:
+    """How a call ended that another process of this relay had out. Its message is that process's."""
+
+    host: str
+    status: Status
+    sent_at: int
+    cost: int
+    wait: int
+    stale: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """So many calls are out in another process of this relay: they hold slots."""
+
+    calls: int
+
+
 @dataclass(frozen=True, slots=True)
 class Stopping:
     """The process will end then: what is out by that time is cut off."""
@@ -285,7 +312,8 @@
     token: int
 
 
-Event = Roster | Arrived | Recovered | Stopping | Withdrawn | Verdict | Probed | Alarm
+Event = (Roster | Arrived | Recovered | Learned | Overheard | Elsewhere | Stopping | Withdrawn | Verdict
+         | Probed | Alarm)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -27,19 +27,26 @@
         self.field = field
         self.port = free_port()
         self.mgmt: int | None = None
+        self.inherited: int | None = None
         self.child: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> Client:
+    async def start(self, until: str = "serves on") -> Client:
+        environment = {**os.environ, **self.field.environment(self.port, self.mgmt)}
+        if self.inherited is not None:
+            environment["RELAY_INHERITED_FD"] = str(self.inherited)
         self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "garnetrelay", cwd=ROOT,
-            env={**os.environ, **self.field.environment(self.port, self.mgmt)},
-            stderr=asyncio.subprocess.PIPE)
-        assert self.child.stderr is not None
-        async with asyncio.timeout(PATIENCE):
-            while b"serves on" not in (line := await self.child.stderr.readline()):
-                assert line, "the relay did not start"
+            sys.executable, "-m", "garnetrelay", cwd=ROOT, env=environment,
+            stderr=asyncio.subprocess.PIPE, pass_fds=() if self.inherited is None else (self.inherited,))
+        await self.says(until)
         return await Client.connect(self.port)
 
+    async def says(self, text: str) -> None:
+        """Wait for a line of its log."""
+        assert self.child is not None and self.child.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while text.encode() not in (line := await self.child.stderr.readline()):
+                assert line, f"the relay ended and never said '{text}'"
+
     async def end(self, number: signal.Signals) -> int:
         assert self.child is not None
         if self.child.returncode is None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -248,8 +248,9 @@
         """A relay in this process, and a client of it."""
         relay = Relay(self.config())
         self.relays.append(relay)
-        _, port = await relay.start()
-        return await Client.connect(port)
+        await relay.start()
+        assert relay.server.address is not None
+        return await Client.connect(relay.server.address[1])
 
     async def stop(self) -> None:
         for relay in self.relays:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,117 @@
+"""Who owns each message when two processes share the folder."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+from garnetrelay.journal import Entry, Journal
+from garnetrelay.ownership import Ownership
+
+DISK = 1_000_000
+
+
+def entry(ref: str, size: int = 100) -> Entry:
+    return Entry(ref, "keyed", 3, "k", 1_900_000_000_000, bytes(size))
+
+
+def opened(folder: Path) -> Ownership:
+    return Ownership(folder, DISK, shared=True)
+
+
+def refs(ownership: Ownership) -> set[str]:
+    return set(ownership.entries)
+
+
+def test_journal_has_one_holder_and_is_free_with_its_end(tmp_path: Path) -> None:
+    first = opened(tmp_path)
+    assert first.taken(entry("a"))
+    second = opened(tmp_path)
+    assert refs(second) == set() and second.elsewhere("a") and not second.elsewhere("b")
+    assert second.taken(entry("b"))
+    first.take_up()
+    assert first.elsewhere("b") and refs(first) == {"a"}
+    first.close()
+    assert [one.ref for one in second.take_up()] == ["a"]
+    assert refs(second) == {"a", "b"} and not second.foreign
+    second.close()
+    assert refs(opened(tmp_path)) == {"a", "b"}
+
+
+def test_handed_over_message_has_one_owner_and_all_that_was_known_of_it(tmp_path: Path) -> None:
+    first, second = opened(tmp_path), opened(tmp_path)
+    for ref in ("out", "waits"):
+        assert first.taken(entry(ref))
+        assert first.trying(ref, "north", 1000)
+    first.outcome("waits", True)
+    assert first.hand_over(["waits"]) == ["waits"]
+    assert refs(first) == {"out"}
+    [taken] = second.take_up()
+    assert (taken.ref, taken.attempts, taken.ran_at, taken.ran_zone) == ("waits", 1, 1000, "north")
+    assert second.trying("waits", "south", 2000)
+    second.ended("waits", None)
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["journal", "journal.1"]
+    first.ended("out", "dead")
+    first.close()
+    [left] = second.take_up()
+    assert (left.ref, left.ended) == ("out", "dead")
+
+
+@pytest.mark.parametrize("both", [True, False])
+def test_hand_over_that_a_kill_cut_short_leaves_one_message(tmp_path: Path, both: bool) -> None:
+    """The further journal is written, the old one not struck yet: with the process both become free, at once
+    or one after the other."""
+    second = opened(tmp_path)
+    first = opened(tmp_path)
+    assert first.taken(entry("a"))
+    before = first.own.path
+    struck = tmp_path / "kept"
+    shutil.copy(before, struck)
+    assert first.hand_over(["a"]) == ["a"]
+    if not both:
+        assert [one.ref for one in second.take_up()] == ["a"]
+        second.ended("a", None)  # delivered, and its journal removed, before the other is free
+    before.write_bytes(struck.read_bytes())
+    struck.unlink()
+    first.close()
+    assert [one.ref for one in second.take_up()] == (["a"] if both else [])
+    second.ended("a", None)
+    second.close()
+    assert refs(opened(tmp_path)) == set()
+
+
+def test_rewritten_journal_stays_its_holders(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, DISK)
+    while journal.size < 300_000:
+        assert journal.taken(entry("a", 60_000))
+    journal.ended("a", None)
+    assert journal.taken(entry("b")) and journal.size < 100_000  # it was written anew
+    with pytest.raises(BlockingIOError):
+        Journal(tmp_path, DISK)
+    journal.close()
+    assert set(Journal(tmp_path, DISK).entries) == {"b"}
+
+
+def test_two_processes_stay_under_the_limit_together(tmp_path: Path) -> None:
+    first, second = opened(tmp_path), opened(tmp_path)
+    n = 0
+    for ownership in (first, second):
+        while ownership.has_room(2000):
+            assert ownership.taken(entry(f"m{n}", 2000))
+            n += 1
+    assert n > 100
+    most = 0
+    for ref in list(first.entries):
+        first.hand_over([ref])
+        taken = second.take_up()
+        assert [one.ref for one in taken] == [ref] and not second.has_room(2000)
+        second.trying(ref, "north", 1)
+        most = max(most, sum(path.stat().st_size for path in tmp_path.iterdir()))
+    first.close()
+    second.take_up()
+    for ref in list(second.entries):
+        second.ended(ref, None)
+        most = max(most, sum(path.stat().st_size for path in tmp_path.iterdir()))
+    assert most < DISK
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,159 @@
+"""A second process beside the first: when it takes over, what it knows, and what neither does twice."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from collections.abc import AsyncIterator
+
+import pytest_asyncio
+
+from garnetrelay.ownership import Ownership
+from starlingwick import interface as io
+from tests.helpers import MS, S, Relay, entry
+from tests.processes import Process, free_port
+from tests.sockets import PATIENCE, Client, Field, http
+
+
+class Pair:
+    """Two processes of one relay, and the platform's socket that both inherit."""
+
+    def __init__(self, field: Field) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.port = int(self.socket.getsockname()[1])
+        self.old, self.new = Process(field), Process(field)
+        for process in (self.old, self.new):
+            process.port, process.inherited, process.mgmt = self.port, self.socket.fileno(), free_port()
+
+    async def connect(self) -> Client:
+        return await Client.connect(self.port)
+
+
+@pytest_asyncio.fixture
+async def pair(field: Field) -> AsyncIterator[Pair]:
+    made = Pair(field)
+    yield made
+    for process in (made.old, made.new):
+        if process.child is not None and process.child.returncode is None:
+            await process.end(signal.SIGKILL)
+    made.socket.close()
+
+
+async def test_new_process_takes_over_and_none_is_sent_twice(field: Field, pair: Pair) -> None:
+    field.facts["familyInfo"]["callsOut"] = 1
+    client = await pair.old.start()
+    assert await client.enqueue("out") == b"OK"
+    out = await field.host.next_call()
+    assert await client.enqueue("waits") == b"OK"
+    await pair.new.start("waiting for the process before us")
+    assert pair.new.mgmt is not None and pair.old.mgmt is not None
+    assert (await http(pair.new.mgmt, "GET /healthcheck"))[0] == 200
+    assert (await http(pair.old.mgmt, "GET /healthcheck"))[0] == 200
+    assert pair.old.child is not None
+    pair.old.child.send_signal(signal.SIGTERM)
+    assert await client.read() is None  # closed between requests
+    await pair.new.says("serves on")
+    late = await pair.connect()
+    assert await late.enqueue("new") == b"OK"
+    assert await late.enqueue("out") == b"OK"  # the old process has it: taken on already
+    assert field.host.calls.empty()  # the one slot is the old process's
+    out.answer(200)
+    async with asyncio.timeout(PATIENCE):
+        assert await pair.old.child.wait() == 0
+    calls = [await field.host.next_call()]
+    calls[0].answer(200)
+    calls.append(await field.host.next_call())
+    calls[1].answer(200)
+    assert {call.headers["x-request-id"] for call in calls} == {"waits", "new"}
+    assert await pair.new.end(signal.SIGTERM) == 0
+    assert field.host.calls.empty() and field.platform.notices.empty()
+    assert dict(Ownership(field.state, 3_000_000, shared=True).entries) == {}
+
+
+async def test_new_process_takes_all_when_the_old_one_is_killed(field: Field, pair: Pair) -> None:
+    client = await pair.old.start()
+    for ref, klass in (("k", "keyed"), ("u", "unsafe")):
+        assert await client.enqueue(ref, klass) == b"OK"
+        await field.host.next_call()
+    await pair.new.start("waiting for the process before us")
+    await pair.old.end(signal.SIGKILL)
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "k"
+    call.answer(200)
+    assert await field.platform.next_notice() == {"ref": "u", "result": "dead"}
+    late = await pair.connect()
+    assert await late.enqueue("m") == b"OK"
+    (await field.host.next_call()).answer(200)
+    assert await pair.new.end(signal.SIGTERM) == 0
+
+
+async def test_old_process_serves_on_when_the_new_one_dies(field: Field, pair: Pair) -> None:
+    client = await pair.old.start()
+    await pair.new.start("waiting for the process before us")
+    await pair.new.end(signal.SIGKILL)
+    assert await client.enqueue("m") == b"OK"
+    (await field.host.next_call()).answer(200)
+    assert await pair.old.end(signal.SIGTERM) == 0
+    assert sorted(path.name for path in field.state.iterdir() if path.stat().st_size) == ["journal"]
+
+
+async def test_wait_told_to_the_old_process_binds_the_new_one(field: Field, pair: Pair) -> None:
+    client = await pair.old.start()
+    assert await client.enqueue("out") == b"OK"
+    out = await field.host.next_call()
+    await pair.new.start("waiting for the process before us")
+    assert pair.old.child is not None
+    pair.old.child.send_signal(signal.SIGTERM)
+    await pair.new.says("serves on")
+    out.answer(429, "X-Backoff-Ms: 1500")
+    told = asyncio.get_running_loop().time()
+    async with asyncio.timeout(PATIENCE):
+        assert await pair.old.child.wait() == 0
+    late = await pair.connect()
+    assert await late.enqueue("new") == b"OK"
+    for _ in range(2):
+        (await field.host.next_call()).answer(200)
+        assert asyncio.get_running_loop().time() >= told + 1.5
+
+
+def test_learned_waits_and_ceilings_go_on_in_another_pacer() -> None:
+    old = Relay(entry("a"), entry("b", dest=2))
+    old.serve(5)
+    old.turn(*[old.message() for _ in range(6)], after=S)
+    old.try_all(io.Status.FULL, 4)
+    old.turn(old.message(dest=2))
+    old.turn(old.verdict(old.sends()[0].call, io.Status.FULL, wait=3 * S))
+    ceiling = old.pacer.routes[1][0].ceiling
+    assert ceiling is not None
+    new = Relay(entry("a"), entry("b", dest=2), seed=8)
+    new.now = old.now
+    new.turn(io.Learned(json.loads(json.dumps(old.pacer.learned()))))
+    assert new.pacer.routes[1][0].ceiling == ceiling
+    new.turn(new.message(dest=2))
+    assert not new.sends()
+    new.turn(after=2900 * MS)
+    assert not new.sends()
+
+
+def test_overheard_wait_and_calls_elsewhere_hold_back_sends() -> None:
+    new = Relay(entry("a"), slots=2)
+    new.turn(io.Elsewhere(2))
+    new.turn(new.message())
+    assert not new.sends()
+    new.turn(io.Elsewhere(0), io.Overheard("a", io.Status.FULL, new.now - S, S, 2 * S, False))
+    assert not new.sends()
+    new.turn(after=1900 * MS)
+    assert not new.sends()
+    new.turn(after=3 * S)
+    assert len(new.sends()) == 1
+
+
+def test_no_call_begins_once_the_right_to_send_is_passed_on() -> None:
+    old = Relay(entry("a"))
+    old.turn(old.message())
+    [send] = old.sends()
+    assert old.pacer.clear_to_send(old.now, send.call, "a")
+    old.turn(io.Stopping(old.now), old.message())
+    assert not old.sends() and not old.pacer.clear_to_send(old.now, send.call, "a")
