Count a silent call against its destination only where answers have ended

Peers go silent one connection at a time. Ruled out: slots (23 to 30 of 41 out while hundreds waited), the ceilings (none at the destinations that waited most).

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -50,6 +50,7 @@
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 LEARNED_SPANS = ("refusals", "sent", "arrived", "served")
 NOT_LEARNED = ("number", "per_call", "hosts", "calls", *LEARNED_SPANS)  # in the list, or out
+FAILED = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED)
 MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
 
@@ -497,16 +498,20 @@
             self.judge(dest, host, True)
         elif status is Status.FULL:
             self.on_refused(call, wait, left)
-        elif status is Status.RESET and self.answers(dest):
-            host.bad += BAD_WEIGHT * (1.0 - host.bad)  # a connection broke; the destination is well
-            host.retry_at = self.now + REST
-        elif status in (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
-            if not call.blamed:
+        elif status in FAILED and not call.blamed:
+            if status in (Status.RESET, Status.TIMEOUT) and self.answers(dest):
+                self.distrust(host)
+            else:
                 self.judge(dest, host, False)
 
+    def distrust(self, host: Host) -> None:
+        """One connection broke or fell silent; the destination is well."""
+        host.bad += BAD_WEIGHT * (1.0 - host.bad)
+        host.retry_at = self.now + REST
+
     def answers(self, dest: Destination) -> bool:
         """Whether a call there was answered well so lately that the next may just be on its way. Connections
-        may break one by one between us; where a destination goes down, its answers end too."""
+        may break or fall silent one by one between us; where a destination goes down, its answers end too."""
         return bool(dest.served) and self.now - dest.served[-1] < self.late_after(dest)
 
     def on_refused(self, call: Call, wait: int, left: float | None) -> None:
@@ -614,7 +619,10 @@
             due = call.sent_at + self.late_after(call.dest)
             if due <= self.now:
                 call.blamed = True
-                self.judge(call.dest, call.host, False)
+                if self.answers(call.dest):
+                    self.distrust(call.host)
+                else:
+                    self.judge(call.dest, call.host, False)
             else:
                 self.wake_at = min(self.wake_at, due)
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -296,3 +296,21 @@
         waits = [refusal.hold_off for refusal in relay.of(io.Refuse)]
         assert len(waits) >= 20
         assert all((0 < wait <= 2 * S) if told else wait == 0 for wait in waits)
+
+
+def test_one_silent_call_says_nothing_of_a_destination_that_answers() -> None:
+    """A connection may fall silent by itself; where all do, the destination has stopped answering."""
+    relay = Relay(entry("a"), entry("b"))
+    relay.serve(10)
+    relay.turn(relay.message(), relay.message())
+    silent, answered = relay.sends()
+    relay.turn(relay.verdict(answered.call, io.Status.OK, cost=300 * MS), after=300 * MS)
+    relay.turn(after=200 * MS)  # overdue now: the mean is some 120 ms
+    assert next(iter(relay.pacer.calls)).blamed
+    dest = relay.pacer.routes[1][0]
+    assert dest.bad < 0.1 and dest.bad_from is None
+    relay.turn(relay.message(), relay.message())
+    assert len(relay.sends()) == 2 and silent.host not in {send.host for send in relay.sends()}
+    for _ in relay.pacer.calls:
+        relay.turn(after=3 * S)
+    assert dest.bad > 0.5  # none was answered
