Leave no credit when a ceiling is cut

The spacing under a ceiling lets one second's calls catch up. Ruled out: the upgrades themselves (messages change hands within 30 ms), slots (half of them free).

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -528,6 +528,7 @@
             value = dest.ceiling or self.rate(dest.sent, SENT_SPAN)
             dest.ceiling = max(CUT * value, min(1.0, SECOND / max(1, self.turn(dest))) / 2)
             dest.ceiling_at = dest.cut_at = self.now
+            dest.next_call = max(dest.next_call, self.now)  # no credit from before the cut
             self.log(f"cut dest={dest.number} ceiling={dest.ceiling:.3f}/s")
         if call.sent_at >= dest.pause_at:
             self.pause(dest, True, left)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -314,3 +314,19 @@
     for _ in relay.pacer.calls:
         relay.turn(after=3 * S)
     assert dest.bad > 0.5  # none was answered
+
+
+def test_a_cut_leaves_no_credit_from_the_rate_before_it() -> None:
+    """What the old rate would have let go by now must not go out at once under the new ceiling."""
+    relay = Relay(entry("a"), slots=16)
+    relay.serve(20)
+    dest = relay.pacer.routes[1][0]
+    dest.mean = 800 * MS  # so that calls out do not bind
+    relay.turn(*[relay.message() for _ in range(10)])
+    calls = relay.sends()
+    relay.turn(*[relay.verdict(send.call, io.Status.FULL) for send in calls[:3]], after=100 * MS)
+    assert dest.ceiling is not None and relay.pacer.most_calls(dest) > 3
+    relay.turn(*[relay.message() for _ in range(10)])
+    # The rest, sent before, is answered well: nothing but the ceiling holds back the next.
+    relay.turn(*[relay.verdict(send.call, io.Status.OK, cost=800 * MS) for send in calls[3:]], after=10 * MS)
+    assert dest.refused_from is None and len(relay.sends()) == 1
