--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -358,6 +358,14 @@
                        and (connection.replies or connection.unread or connection.quiet_from > lately)
                        for connection in self.connections)
 
+    def close_silent(self) -> None:
+        """Where the process ends beside another one, the descriptors of both count: whoever has connected
+        and asked nothing by now makes way."""
+        lately = asyncio.get_running_loop().time() - FIRST_REQUEST
+        for connection in list(self.connections):
+            if connection.quiet_from <= lately:
+                connection.close_between_requests()
+
     def _close_open(self) -> None:
         """A connection without a request yet is not closed: one is on its way, or its time is soon up."""
         self.draining = True
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 import re
 import select
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -289,6 +291,11 @@
                 self.pool.close_idle(self.host)
             exchange.end(outcome)
 
+    def shut(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            with contextlib.suppress(OSError):  # the host was first
+                self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+
     def abort(self) -> None:
         """Close at once: the host takes this for a call given up."""
         self.pool.forget(self)
@@ -402,10 +409,12 @@
             self.close_idle(host)
 
     def close(self) -> None:
-        """Drop every connection; what was out on them has no outcome."""
+        """Drop every connection; what was out on them has no outcome. It is given up before this returns, and
+        not in the loop's next turn: another process may send it again as soon as its journal is free."""
         for task in self.opening:
             task.cancel()
         for connection in list(self.open):
+            connection.shut()
             connection.abort()
 
     def _close_oldest_idle(self) -> None:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -158,6 +158,7 @@
         """Leave as soon as nothing is left to do here."""
         if self.passed_on:
             self._hand_over()
+            self.server.close_silent()
         if (self.server.stopped and self.server.quiet and not self.newcomers and not self.held
                 and not self.notices.queue):
             self.finished.set()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -4,6 +4,7 @@
 
 import signal
 
+from garnetrelay.clients import FIRST_REQUEST
 from tests.processes import Process, free_port
 from tests.sockets import Client, Field, http
 
@@ -66,3 +67,17 @@
     assert await client.enqueue("m1") == b"OK"
     assert await client.read() is None
     (await field.host.next_call()).answer(200)
+
+
+async def test_silent_connections_make_way_where_another_process_serves(field: Field) -> None:
+    first = await field.start()
+    server = field.relays[0].server
+    silent, new = [await Client.connect(int(first.writer.get_extra_info("peername")[1])) for _ in range(2)]
+    assert await first.ask("PING") == b"PONG"
+    oldest = list(server.connections)[0]
+    server.stop()
+    assert await first.read() is None
+    oldest.quiet_from -= FIRST_REQUEST
+    server.close_silent()
+    assert await silent.read() is None
+    assert await new.ask("PING") == b"PONG"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import select
 import signal
 import socket
 from collections.abc import AsyncIterator
@@ -118,6 +119,18 @@
         assert asyncio.get_running_loop().time() >= told + 1.5
 
 
+async def test_calls_are_given_up_before_their_journal_is_free(field: Field) -> None:
+    """With the journal's lock gone, the other process may send at once: no turn of the loop lies between."""
+    client = await field.start()
+    assert await client.enqueue("out") == b"OK"
+    call = await field.host.next_call()
+    poll = select.poll()
+    poll.register(call.writer.get_extra_info("socket").fileno(), select.POLLIN)
+    assert not poll.poll(0)
+    field.relays.pop().close()
+    assert poll.poll(0)
+
+
 def test_learned_waits_and_ceilings_go_on_in_another_pacer() -> None:
     old = Relay(entry("a"), entry("b", dest=2))
     old.serve(5)
