--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -135,6 +135,7 @@
                 if event.status_code != 200:
                     raise ValueError(f"discovery answered {event.status_code}")
                 patience = SILENCE
+                log.info("watch taken up after version %d", self.index)
                 self.on_news(News(self.index, False, (), {}))  # taken up, also where nothing has changed
             elif isinstance(event, h11.Data):
                 *lines, pending = (pending + bytes(event.data)).split(b"\n")
