--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -247,8 +247,8 @@
         self._recover(list(self.journal.entries.values()))
         self._turn()
         host, port = await self.server.start(self.config.listen.host, self.config.listen.port, inherited)
-        log.info("%s serves on %s port %d, one of %d relays, list version %d (%s)", self.config.name, host, port,
-                 self.settings.relays, self.discovery.index, self.settings.discovery.value)
+        log.info("%s serves on %s port %d, one of %d relays, list version %d",
+                 self.config.name, host, port, self.settings.relays, self.discovery.index)
 
     # ---- upgrades
 
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -44,6 +44,8 @@
 HALF_LEFT = 0.5  # of a limit: no reason to hold back, nor to refuse
 SPENT = 0.1  # this little left, noisy as it is told: the next call is refused as likely as not
 REST = SECOND // 4  # first pause of our own after a refusal or a failure; it grows with the trouble
+ASK_APART = SECOND // 10  # of a fleet's calls for the list, where its watches all break at once
+ASK_SELDOM = 4 * ASK_APART  # where they go on failing
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
@@ -160,7 +162,7 @@
         self.elsewhere = 0  # calls out in another process of this relay: they hold slots too
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
         self.ask_at = NEVER
-        self.ask_step = 2 * SECOND
+        self.asks_failed = 0  # in a row
         self.subscribed = False
         self.stopping_at = NEVER  # when the process ends
         self.alarm = 0  # the newest alarm asked for; older ones need no answer
@@ -219,23 +221,30 @@
     # ---- the list of hosts
 
     def ask(self) -> None:
-        """Subscribe, and again with growing gaps until an answer comes."""
+        """Subscribe; what comes of it says when to ask again."""
         if self.now >= self.ask_at and not self.subscribed:
             self.actions.append(Subscribe())
-            self.ask_at = self.now + self.ask_step
-            self.ask_step = min(2 * self.ask_step, max(self.ask_step, self.settings.rules.ask_every))
+            self.ask_at = NEVER
         if not self.subscribed:
             self.wake_at = min(self.wake_at, self.ask_at)
 
+    def ask_span(self) -> int:
+        """Over what time to spread the next call for the list. All relays lose their watches at once, and
+        calls that discovery turns away keep it busy too: many relays together ask it little more often than
+        a few do, and more seldom each time that it fails."""
+        relays = self.settings.relays
+        return max(SECOND, min(ASK_APART * relays << min(self.asks_failed, 8), ASK_SELDOM * relays))
+
     def on_roster(self, event: Roster) -> None:
         if event.scope is ListScope.FAILED:
             self.subscribed = False
             if self.settings.discovery is Discovery.SUBSCRIBE:
-                self.ask_at = min(self.ask_at, self.now + SECOND // 2 + self.random.randrange(SECOND))
+                self.ask_at = self.now + SECOND // 2 + round(self.random.random() * self.ask_span())
+                self.asks_failed += 1
             return
         if event.scope is not ListScope.CACHED:
             self.subscribed = True
-            self.ask_step = 2 * SECOND
+            self.asks_failed = 0
         for entry in event.entries:
             self.on_entry(entry)
         if event.scope is not ListScope.CHANGES:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,41 @@
+"""What only many relays side by side show: each alone is harmless, the sum of them need not be."""
+
+from __future__ import annotations
+
+from starlingwick import interface as io
+from tests.helpers import MS, Relay, S, entry
+
+STEP = 50 * MS
+LOST = io.Roster(io.ListScope.FAILED, ())
+
+
+def fleet(relays: int) -> list[Relay]:
+    return [Relay(entry("a"), seed=seed, relays=relays, discovery=io.Discovery.SUBSCRIBE)
+            for seed in range(relays)]
+
+
+def calls_for_the_list(relays: list[Relay], seconds: int) -> list[int]:
+    """Calls for the list in each second after all watches break at once. Each call fails."""
+    for relay in relays:
+        relay.turn(io.Roster(io.ListScope.CHANGES, ()))
+        relay.turn(LOST)
+    asked = [0] * seconds
+    for step in range(seconds * S // STEP):
+        for relay in relays:
+            relay.turn(after=STEP)
+            if relay.of(io.Subscribe):
+                asked[step * STEP // S] += 1
+                relay.turn(LOST)
+    return asked
+
+
+def test_forty_relays_that_lose_their_watches_at_once_ask_again_at_a_pace_that_falls() -> None:
+    asked = calls_for_the_list(fleet(40), 30)
+    assert max(asked) <= 16  # a few for every two of a fleet of four, and not all at once
+    assert sum(asked[20:]) <= 60  # discovery that fails them all is left in peace
+    assert sum(asked[20:]) > 0  # and still asked
+
+
+def test_two_relays_ask_again_within_the_first_seconds() -> None:
+    for relay in fleet(2):
+        assert sum(calls_for_the_list([relay], 4)) >= 2
