Close connections idle for the limit divided by the relays

At fault: Hosts.idle_time, 0.8 of the host's limit for each of 40 relays, after close_idle had trusted the gap between two calls. Ruled out by plays of both sides: rests, cuts, outages by refusals, memory lost by a kill, messages picked up in step, failed connects. The test fails without the change (the connection stays past 20 s).

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -309,7 +309,8 @@
 
     def __init__(self, settings: io.Settings, most_open: int) -> None:
         self.connect_time = settings.limits.connect_timeout / SECOND or 1.0
-        self.idle_time = IDLE_SHARE * settings.limits.conn_idle / SECOND
+        # A host's table is shared by all relays: together they leave idle what one alone might.
+        self.idle_time = min(IDLE_SHARE, 1 / settings.relays) * settings.limits.conn_idle / SECOND
         self.most_open = most_open
         self.addresses: dict[str, Address] = {}
         self.open: set[Connection] = set()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -331,6 +331,19 @@
             await field.host.closed.get()
 
 
+async def test_connection_of_one_among_many_relays_stands_idle_for_its_part_of_the_time(field: Field) -> None:
+    """Two calls in quick succession kept it for the host's whole limit, at each of 40 relays: the host's table
+    was full of idle connections."""
+    field.facts["balancers"] = 40
+    field.facts["limits"]["connIdle"] = 40_000_000_000
+    client = await field.start()
+    await field.warm(client)
+    async with asyncio.timeout(20):  # a second, and half a minute if it were one relay's
+        for _ in range(2):
+            await field.host.closed.get()
+    assert not field.relays[0].hosts.open
+
+
 async def test_connection_that_the_host_has_closed_is_not_used_again(field: Field) -> None:
     """The end lies on the socket when the next message comes, unread yet: writing behind it would be a
     reset, and an unsafe message would die of it."""
