--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -332,8 +332,8 @@
 
 
 async def test_connection_of_one_among_many_relays_stands_idle_for_its_part_of_the_time(field: Field) -> None:
-    """Two calls in quick succession kept it for the host's whole limit, at each of 40 relays: the host's table
-    was full of idle connections."""
+    """Two calls in quick succession kept it for the host's whole limit, at each of 40 relays: the host's
+    table was full of idle connections."""
     field.facts["balancers"] = 40
     field.facts["limits"]["connIdle"] = 40_000_000_000
     client = await field.start()
