--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -556,19 +556,18 @@
         """Own rest after a call, for relays that see too few refusals to cut a rate. Grows by refusals (also
         from a told wait's end: all were told it) or with the limit all but spent; ends with half of it left,
         shrinks like a ceiling in between, halves with time. As many refusals as make a cut take it to three
-        turns, the rarer they are the nearer: refused calls may use up the limit too, and all relays that rest
-        for a fixed time would together go on sending more than it allows."""
-        turn = self.turn(dest)
-        rare = min(1.0, turn / CLIMB_EVERY) ** 2  # nought where it is many calls a second
-        most = max(CLIMB_EVERY, 3 * turn)
+        turns where turns are rare: refused calls may use up the limit too."""
+        rare = self.turn(dest) > CLIMB_EVERY
+        most = 3 * self.turn(dest) if rare else CLIMB_EVERY
         dest.rest *= 0.5 ** ((self.now - dest.pause_at) / most)
-        if refused or rare == 1.0 and left is not None and left < SPENT:
+        if refused or rare and left is not None and left < SPENT:
             # None told: perhaps shut. Nothing at all left: refused calls use it up. Both rest longer at once.
             step = (most / REST) ** ((1 if left else 1.5) / CUT_AFTER)
-            dest.rest = min(max(REST, step * max(REST * rare, dest.rest)), most)
+            grown = step * max(REST if rare else 0.0, dest.rest)
+            dest.rest = min(max(REST, grown), most)
         else:
-            kept = CUT * rare * dest.rest
-            dest.rest = 0.0 if kept < REST or left is not None and left > HALF_LEFT else kept
+            ends = not rare or left is not None and left > HALF_LEFT or CUT * dest.rest < REST
+            dest.rest = 0.0 if ends else CUT * dest.rest
         dest.pause_at = self.now
         dest.rest_until = self.now + round(dest.rest * self.random.uniform(0.5, 1.5))
 
