Climb back to what a ceiling was cut from where that is above an even part

At fault: Pacer.climb, whose target was listed / relays. A busy relay's cut lies above that, and the first climb took it for arrived and dropped it. The target is now at least what was cut.

The test fails without the change.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -83,6 +83,7 @@
     ceiling: float | None = None  # calls a second of this relay
     ceiling_at: int = 0  # when the ceiling last changed
     cut_at: int = 0  # when it was last cut
+    cut_from: float = 0.0  # what it was cut from, calls a second
     next_call: int = 0  # spacing under the ceiling
     mean: float = 0.0  # response time
     wait_until: int = 0  # told
@@ -534,8 +535,8 @@
             dest.refusals.popleft()
         if len(dest.refusals) >= CUT_AFTER:
             dest.refusals.clear()
-            value = dest.ceiling or self.rate(dest.sent, SENT_SPAN)
-            dest.ceiling = max(CUT * value, min(1.0, SECOND / max(1, self.turn(dest))) / 2)
+            dest.cut_from = dest.ceiling or self.rate(dest.sent, SENT_SPAN)
+            dest.ceiling = max(CUT * dest.cut_from, min(1.0, SECOND / max(1, self.turn(dest))) / 2)
             dest.ceiling_at = dest.cut_at = self.now
             dest.next_call = max(dest.next_call, self.now)  # no credit from before the cut
             self.log(f"cut dest={dest.number} ceiling={dest.ceiling:.3f}/s")
@@ -656,8 +657,8 @@
     def climb(self, dest: Destination) -> None:
         """The slower, exponential way back to the target; a ceiling that reaches it is dropped."""
         while dest.ceiling is not None and self.now >= dest.ceiling_at + CLIMB_EVERY:
-            if dest.listed:
-                target = dest.listed / self.settings.relays
+            if dest.listed:  # traffic is uneven: what was cut may lie above an even part, and climbs back
+                target = max(dest.listed / self.settings.relays, dest.cut_from)
             else:
                 target = 2 * self.rate(dest.arrived, SENT_SPAN)
             dest.ceiling_at += CLIMB_EVERY
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from starlingwick import interface as io
+from starlingwick.control import CLIMB_EVERY, CLIMB_SHARE, CUT
 from tests.helpers import MS, Relay, S, entry
 
 STEP = 50 * MS
@@ -39,3 +42,23 @@
 def test_two_relays_ask_again_within_the_first_seconds() -> None:
     for relay in fleet(2):
         assert sum(calls_for_the_list([relay], 4)) >= 2
+
+
+@pytest.mark.parametrize("relays", [2, 40, 200])
+def test_relays_with_more_than_an_even_part_are_not_let_loose_by_the_first_climb(relays: int) -> None:
+    """Traffic is uneven: what a busy relay was cut to lies above an even part of the listed rate."""
+    busy = [Relay(entry("a", rate=2.0 * relays), seed=seed, relays=relays, listed_rates=True)
+            for seed in range(3)]
+    for relay in busy:
+        relay.serve(10)
+        relay.turn(*[relay.message() for _ in range(3)])
+        relay.turn(*[relay.verdict(send.call, io.Status.FULL) for send in relay.sends()], after=50 * MS)
+        dest = relay.pacer.routes[1][0]
+        cut = dest.ceiling
+        assert cut is not None and cut > 2.0
+        relay.turn(after=CLIMB_EVERY)
+        assert dest.ceiling == pytest.approx(cut + CLIMB_SHARE * (cut / CUT - cut))
+        for _ in range(12):
+            relay.turn(relay.message(), after=CLIMB_EVERY)
+            relay.turn(*[relay.verdict(send.call, io.Status.OK) for send in relay.sends()], after=10 * MS)
+        assert dest.ceiling is None  # it reaches what it was cut from, and goes
