--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -13,6 +13,8 @@
 
 import hiredis
 
+from garnetrelay.streams import BufferedReader, new_buffer
+
 log = logging.getLogger(__name__)
 
 MOST_BODY = 64 * 1024
@@ -124,16 +126,17 @@
     return int(text)
 
 
-class Connection(asyncio.Protocol):
+class Connection(BufferedReader):
     """One client's connection."""
 
     def __init__(self, server: Server) -> None:
         self.server = server
+        self.buffer = server.buffer
         self.reader = hiredis.Reader(protocolError=Rejected, replyError=Rejected)
         self.unread = bytearray()  # of a command that has not come whole
         self.replies: deque[Reply] = deque()
-        self.lost = False
-        self.closing = False
+        self.lost: bool = False
+        self.closing: bool = False
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None  # runs until a request has come whole
         self.quiet_from = 0.0  # when it was opened, or its last request came
@@ -296,6 +299,7 @@
     def __init__(self, handler: Handler, most: int) -> None:
         self.handler = handler
         self.most = most
+        self.buffer = new_buffer()
         self.connections: dict[Connection, None] = {}  # longest without a request first
         self.silent = 0  # connections closed without a request, so far
         self.stopped = False  # no new connections, for good
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -21,6 +21,7 @@
 import h11
 
 from garnetrelay.config import Address
+from garnetrelay.streams import BufferedReader, new_buffer
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -138,11 +139,12 @@
     return Outcome(io.Status.ERROR, report=report)  # 500, and whatever else: it may have run
 
 
-class Connection(asyncio.Protocol):
+class Connection(BufferedReader):
     """One connection to a host: carries an exchange, stands idle, or is gone."""
 
     def __init__(self, pool: Hosts, host: str, address: Address) -> None:
         self.pool = pool
+        self.buffer = pool.buffer
         self.host = host
         self.address = address
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
@@ -312,6 +314,7 @@
         # A host's table is shared by all relays: together they leave idle what one alone might.
         self.idle_time = min(IDLE_SHARE, 1 / settings.relays) * settings.limits.conn_idle / SECOND
         self.most_open = most_open
+        self.buffer = new_buffer()
         self.addresses: dict[str, Address] = {}
         self.open: set[Connection] = set()
         self.idle: dict[str, deque[Connection]] = {}
