Count half of a 429, 503, 504 or 410 as an attempt that may have run

Seen by reading, forced by tests over sockets: a 503 head with "Content-Length: 9" and no body, then a close, put an unsafe message back into the hold, and it was sent again; a 410's head ended it with no notice. At fault: Connection.settled and _read_events in hosts.py, which took any head for the whole answer. As a told wait runs from the moment its answer is written, the head's wait goes to the Pacer at once (event Told), and to the next process of an upgrade. Ruled out: the reader of whole answers; the table of test_answer_is_read_as_the_protocol_says is unchanged.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -62,12 +62,14 @@
     """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it."""
 
     def __init__(self, host: str, stop_at: int, prepare: Callable[[], Ask | None],
-                 done: Callable[[Outcome], None], written: Callable[[], None] = lambda: None) -> None:
+                 done: Callable[[Outcome], None], written: Callable[[], None] = lambda: None,
+                 told: Callable[[int], None] = lambda wait: None) -> None:
         self.host = host
         self.stop_at = stop_at
         self.prepare = prepare
         self._done = done
         self.written = written  # heard once, when the kernel has taken the request's last byte
+        self.told = told  # heard as soon as an answer's head tells a wait: it binds from when it was written
         self.ended = False
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None
@@ -180,10 +182,11 @@
 
     @property
     def settled(self) -> Outcome | None:
-        """The outcome, where what has come of the answer decides it: a first line with 200 does."""
-        if self.outcome is None and DELIVERED.match(self.head):
-            return Outcome(io.Status.OK, finished=True)
-        return self.outcome
+        """The outcome, where what has come of the answer decides it: a first line with 200 alone does. Any
+        other answer that does not come whole can't be read, and its call may have run."""
+        if self.outcome is not None:
+            return self.outcome if self.outcome.status is io.Status.OK else None
+        return Outcome(io.Status.OK, finished=True) if DELIVERED.match(self.head) else None
 
     def eof_received(self) -> bool:
         # An answer without a length ends with its connection.
@@ -249,7 +252,9 @@
                     self.outcome = read_outcome(event.status_code, list(event.headers))
                     if self.outcome.status is io.Status.ERROR and event.status_code != 500:
                         log.info("host %s: answered %d, taken for an error", self.host, event.status_code)
-                    if self.outcome.finished and self.exchange is not None:
+                    if self.outcome.wait:
+                        self.exchange.told(self.outcome.wait)
+                    if self.outcome.status is io.Status.OK:
                         # The first line settles it. The connection stays busy until the rest has come.
                         self.exchange.end(self.outcome)
                         self._expect_rest()
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -281,6 +281,8 @@
                 if "learned" in line:
                     self.elsewhere = int(line["out"])
                     self._post(io.Learned(line["learned"]))
+                elif "told" in line:
+                    self._post(io.Told("", line["told"], line["wait"]))
                 else:
                     self.elsewhere -= 1
                     self._post(io.Overheard(line["host"], io.Status(line["status"]), line["sent_at"],
@@ -504,7 +506,12 @@
                 send.call, attempt, send.host, outcome.status, time.monotonic_ns() - started,
                 outcome.finished, outcome.wait, outcome.no_slot, outcome.report, outcome.stale))
 
-        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, self.metrics.sent)
+        def told(wait: int) -> None:
+            self._post(io.Told(send.call, send.host, wait))
+            if self.passed_on and self.handover is not None:
+                self.handover.tell({"told": send.host, "wait": wait})
+
+        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, self.metrics.sent, told)
         self.hosts.begin(message.exchange)
 
     def _probe(self, probe: io.Probe) -> None:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -19,7 +19,8 @@
 from starlingwick.interface import (
     Action, Alarm, Arrived, Availability, Close, Decay, Discovery, Elsewhere, Event, Fail, HostEntry, Learned,
     ListScope, Log, MessageClass, Overheard, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope,
-    Send, Settings, Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
+    Send, Settings, Status, Stopping, Subscribe, Told, Verdict,
+    Wake, Withdrawn,
 )
 
 SECOND = 1_000_000_000
@@ -197,6 +198,8 @@
                     self.on_learned(event.facts)
                 case Overheard():
                     self.on_overheard(event)
+                case Told():
+                    self.on_told(event)
                 case Elsewhere():
                     self.elsewhere = event.calls
                 case Withdrawn():
@@ -509,6 +512,14 @@
             if o.wait:
                 dest.wait_until = max(dest.wait_until, self.now + o.wait)
 
+    def on_told(self, event: Told) -> None:
+        """Rule 6: a wait binds from here on, whatever becomes of the answer that told it."""
+        m = self.messages.get(event.call)
+        call = m.call if m is not None else None
+        if call is not None or event.host in self.hosts:
+            dest = call.dest if call is not None else self.hosts[event.host][0]
+            dest.wait_until = max(dest.wait_until, self.now + event.wait)
+
     def learn(self, call: Call, status: Status, cost: int, wait: int, report: Report | None) -> None:
         """What one call's outcome says of its destination and host."""
         dest, host = call.dest, call.host
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -257,6 +257,15 @@
     stale: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """A call's host has told a wait, in an answer that may not have come whole yet."""
+
+    call: str
+    host: str
+    wait: int
+
+
 @dataclass(frozen=True, slots=True)
 class Elsewhere:
     """So many calls are out in another process of this relay: they hold slots."""
@@ -313,8 +322,8 @@
     token: int
 
 
-Event = (Roster | Arrived | Recovered | Learned | Overheard | Elsewhere | Stopping | Withdrawn | Verdict
-         | Probed | Alarm)
+Event = (Roster | Arrived | Recovered | Learned | Overheard | Told | Elsewhere | Stopping | Withdrawn
+         | Verdict | Probed | Alarm)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -503,3 +503,45 @@
     assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
     await until(lambda: field.relays[0].journal.entries == {})
     assert field.platform.refusals == 0
+
+
+# ---- half an answer
+
+@pytest.mark.parametrize("head", [
+    b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 50\r\nContent-Length: 9\r\n\r\n",
+    b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\n",
+    b"HTTP/1.1 504 No\r\nContent-Length: 9\r\n\r\n", b"HTTP/1.1 410 No\r\nContent-Length: 9\r\n\r\nhalf",
+    b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+], ids=["429", "503", "504", "410", "chunk"])
+async def test_answer_whose_rest_breaks_off_may_have_run(field: Field, head: bytes) -> None:
+    """Only a first line with 200 is taken as true without the rest."""
+    await answer_and_close(field, head)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert field.host.calls.empty()
+
+
+@pytest.mark.parametrize("status", [429, 503, 504, 410])
+async def test_answer_whose_rest_never_comes_may_have_run(field: Field, status: int) -> None:
+    client = await field.start()
+    await client.enqueue("m1", "unsafe", d=400)
+    (await field.host.next_call()).raw(
+        b"HTTP/1.1 %d No\r\nX-Backoff-Ms: 1\r\nContent-Length: 9\r\n\r\n" % status)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert field.host.calls.empty()
+
+
+async def test_wait_told_by_half_an_answer_binds_from_its_head_on(field: Field) -> None:
+    client = await field.start()
+    await field.warm(client)
+    await client.enqueue("m1")
+    first = await field.host.next_call()
+    first.raw(b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 700\r\nContent-Length: 9\r\n\r\n")
+    told = time.monotonic()
+    dest = field.relays[0].pacer.routes[3][0]
+    await until(lambda: dest.wait_until > 0)
+    assert field.relays[0].held["m1"].exchange is not None  # the rest may still come
+    await client.enqueue("m2")
+    first.break_off()
+    for _ in range(2):
+        await field.host.next_call()
+        assert time.monotonic() - told >= 0.69
