Tell a call that was never written whole from one that may have run

At fault: start() wrote to a connection that had been lost before its opener ran on (no outcome until the deadline, then a time-out); _broken() said reset also where the last byte had not been written, which ends an unsafe message; an answer that came before that kept the connection; rest() left the timer of an earlier rest running. Ruled out: the kernel's own buffer (what it has taken counts as written), idle connections taken up (usable looks).

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -95,7 +95,7 @@
             self.end(Outcome(io.Status.CONNECT_FAILED))
             return
         outcome = connection.settled or Outcome(
-            status if connection.written_in_full() else io.Status.CONNECT_FAILED)
+            status if connection.whole else io.Status.CONNECT_FAILED)
         connection.abort()
         if outcome.status is io.Status.TIMEOUT:
             # A machine that vanished keeps its connections open and silent, and resets them once it is back:
@@ -157,6 +157,7 @@
         self.body = b""
         self.calls = 0
         self.written_at = 0.0
+        self.whole = False  # the kernel has taken the last byte of what was asked last
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -178,7 +179,8 @@
         a byte, where an earlier call was answered: the host had closed the connection while it stood idle."""
         waited = asyncio.get_running_loop().time() - self.written_at
         stale = self.calls > 1 and not self.received and waited < STALE_TIME
-        return self.settled or Outcome(io.Status.RESET, stale=stale)
+        status = io.Status.RESET if self.whole else io.Status.CONNECT_FAILED  # a call in part never ran
+        return self.settled or Outcome(status, stale=stale)
 
     @property
     def settled(self) -> Outcome | None:
@@ -204,12 +206,10 @@
         return not poll.poll(0)
 
     def resume_writing(self) -> None:
+        self.whole = True
         if self.exchange is not None:
             self.exchange.written()
 
-    def written_in_full(self) -> bool:
-        return self.transport is not None and self.transport.get_write_buffer_size() == 0
-
     def start(self, exchange: Exchange, ask: Ask) -> None:
         """Write the request."""
         if self.timer is not None:
@@ -218,6 +218,7 @@
         self.exchange, exchange.connection = exchange, self
         self.outcome, self.received, self.head, self.body = None, 0, b"", b""
         self.calls += 1
+        self.whole = False
         self.written_at = asyncio.get_running_loop().time()
         headers = [("Host", str(self.address)), *ask.headers]
         data = self.http.send(h11.Request(method=ask.method, target=ask.target, headers=headers)) or b""
@@ -226,8 +227,8 @@
         data += self.http.send(h11.EndOfMessage()) or b""
         assert self.transport is not None
         self.transport.write(data)
-        if self.written_in_full() and not self.transport.is_closing():
-            exchange.written()
+        if not self.transport.get_write_buffer_size() and not self.transport.is_closing():
+            self.resume_writing()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
@@ -273,7 +274,7 @@
         self.timer = asyncio.get_running_loop().call_later(DRAIN_TIME, self.abort)
 
     def _answer_complete(self) -> None:
-        keep = (self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        keep = (self.whole and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
                 and not self.http.trailing_data[0])
         if keep:
             self.http.start_next_cycle()
@@ -377,6 +378,9 @@
     async def _open(self, host: str, address: Address) -> Connection:
         _, connection = await asyncio.get_running_loop().create_connection(
             lambda: Connection(self, host, address), address.host, address.port)
+        if not connection.usable:  # it broke before we came to run: a call written now would have no outcome
+            connection.abort()
+            raise ConnectionResetError("broken as it came up")
         return connection
 
     def _opened(self, task: asyncio.Task[None]) -> None:
@@ -398,6 +402,8 @@
                 or self.addresses.get(connection.host) != connection.address or self.idle_time <= 0):
             connection.abort()
             return
+        if connection.timer is not None:
+            connection.timer.cancel()  # of an earlier rest: it would cut off a later call
         self.idle.setdefault(connection.host, deque()).append(connection)
         connection.timer = asyncio.get_running_loop().call_later(self.idle_time, connection.abort)
 
