Open a watch anew before what it misses counts as told, and read lists that come indented

By reading: _follow took a line end for an object's end; _line passed over what it could not read; move() opened none where none was open; ANSWER_TIME was 5 s twice; ask_span of 20 to 80 s with 200 relays. Ruled out: the agent, which answers at once ("taken up" 4 ms after a start), also a call that waits at an outage's end.

--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -16,8 +16,9 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_TIME = 5.0  # seconds for the watch to be taken up: discovery works through calls in turn
-SILENCE = 4.5  # seconds without a line, of which one comes every 2: the watch is dead
+ANSWER_TIME = 2.0  # seconds to be taken up in; what a watch misses counts as told 6 s after it fell silent
+MOST_ANSWER_TIME = 5.0  # where that fails again and again: discovery may work through its calls in turn
+SILENCE = 3.0  # seconds without a line, of which one comes every 2: the watch is dead
 MOST_LINE = 4 << 20
 
 STATES = {
@@ -79,6 +80,8 @@
         self.reader = reader
         self.index = index
         self.on_news = on_news
+        self.failures = 0  # in a row: watches that were not taken up
+        self.whole: bool = False  # ask for the whole list next: some of what came could not be read
         self.task: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
@@ -94,10 +97,10 @@
     def move(self, address: Address) -> None:
         """Discovery is elsewhere from now on: go on from there with what we have."""
         self.address = address
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
-            self.subscribe()
+        self.failures = 0
+        self.close()
+        self.task = None
+        self.subscribe()  # also where none was open: what it has to tell is due 4 s from now
 
     def _ended(self, task: asyncio.Task[None]) -> None:
         if self.task is task:
@@ -112,47 +115,83 @@
         self.on_news(None)
 
     async def _watch(self) -> None:
-        async with asyncio.timeout(ANSWER_TIME):
+        loop = asyncio.get_running_loop()
+        due = loop.time() + min(ANSWER_TIME * 2 ** min(self.failures, 8), MOST_ANSWER_TIME)
+        self.failures += 1
+        async with asyncio.timeout_at(due):
             reader, writer = await asyncio.open_connection(self.address.host, self.address.port)
         try:
-            await self._follow(reader, writer)
+            await self._follow(reader, writer, due)
         finally:
             writer.transport.abort()
 
-    async def _follow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _follow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, due: float) -> None:
+        """``due`` is when it must have been taken up."""
         http = h11.Connection(h11.CLIENT)
-        target = f"/api/targets?follow=1&since={self.index}"
+        target = f"/api/targets?follow=1&since={0 if self.whole else self.index}"
         writer.write(http.send(h11.Request(
             method="GET", target=target, headers=[("Host", str(self.address))])) or b"")
         writer.write(http.send(h11.EndOfMessage()) or b"")
-        patience, pending = ANSWER_TIME, b""
+        loop, pending, lines = asyncio.get_running_loop(), b"", Lines()
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(patience):
+                async with asyncio.timeout_at(due):
                     http.receive_data(await reader.read(65536))
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     raise ValueError(f"discovery answered {event.status_code}")
-                patience = SILENCE
+                self.failures = 0
+                due = loop.time() + SILENCE
                 log.info("watch taken up after version %d", self.index)
                 self.on_news(News(self.index, False, (), {}))  # taken up, also where nothing has changed
             elif isinstance(event, h11.Data):
-                *lines, pending = (pending + bytes(event.data)).split(b"\n")
-                for line in lines:
-                    self._line(line)
-                if len(pending) > MOST_LINE:
+                due = loop.time() + SILENCE
+                *whole, pending = (pending + bytes(event.data)).split(b"\n")
+                for line in whole:
+                    self._line(lines, line)
+                if len(pending) + lines.size > MOST_LINE:
                     raise ValueError("a line without end")
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 raise ConnectionError("discovery closed it")
 
-    def _line(self, line: bytes) -> None:
-        if not line.strip():
-            return
+    def _line(self, lines: Lines, line: bytes) -> None:
+        """ValueError, and the watch's end, where it can't be read: to go on with what comes behind would lose
+        its changes, so the whole list is asked for next."""
         try:
-            news = self.reader.read(json.loads(line))
-        except ValueError as error:
-            log.warning("a line of the list can't be read, the last list stays: %s", error)
-            return
+            raw = lines.feed(line)
+            if raw is None:
+                return
+            news = self.reader.read(raw)
+        except ValueError:
+            self.whole = True
+            raise
+        self.whole = False
         self.index = news.index
         self.on_news(news)
+
+
+class Lines:
+    """Puts together what may come indented: an object goes from its first line to the one that closes it."""
+
+    def __init__(self) -> None:
+        self.begun: list[bytes] = []
+        self.size = 0
+
+    def feed(self, line: bytes) -> Any:
+        """The object that ends with this line, None where none does. ValueError where it can't be read."""
+        line = line.rstrip()
+        if line:
+            self.begun.append(line)
+            self.size += len(line)
+        if not self.begun or line and not line.endswith(b"}"):
+            return None  # no object ends here
+        text = b"\n".join(self.begun).decode()
+        try:
+            raw = json.loads(text)
+        except json.JSONDecodeError as error:
+            if line and error.pos >= len(text):
+                return None  # good so far; an empty line stands between objects, never within one
+            raise
+        self.begun, self.size = [], 0
+        return raw
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -157,7 +157,7 @@
         self.body = b""
         self.calls = 0
         self.written_at = 0.0
-        self.whole = False  # the kernel has taken the last byte of what was asked last
+        self.whole: bool = False  # the kernel has taken the last byte of what was asked last
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -46,7 +46,8 @@
 SPENT = 0.1  # this little left, noisy as it is told: the next call is refused as likely as not
 REST = SECOND // 4  # first pause of our own after a refusal or a failure; it grows with the trouble
 ASK_APART = SECOND // 10  # of a fleet's calls for the list, where its watches all break at once
-ASK_SELDOM = 4 * ASK_APART  # where they go on failing
+ASK_SOON = SECOND  # for the first call behind a lost watch: its silence has lasted, and news is due
+ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
@@ -238,16 +239,18 @@
 
     def ask_span(self) -> int:
         """Over what time to spread the next call for the list. All relays lose their watches at once, and
-        calls that discovery turns away keep it busy too: many relays together ask it little more often than
-        a few do, and more seldom each time that it fails."""
-        relays = self.settings.relays
-        return max(SECOND, min(ASK_APART * relays << min(self.asks_failed, 8), ASK_SELDOM * relays))
+        calls that discovery turns away keep it busy too: they ask more seldom each time that it fails, but no
+        more seldom than what it has to tell allows."""
+        if not self.asks_failed:
+            return ASK_SOON
+        return min(ASK_LATEST, max(SECOND, ASK_APART * self.settings.relays << min(self.asks_failed, 8)))
 
     def on_roster(self, event: Roster) -> None:
         if event.scope is ListScope.FAILED:
             self.subscribed = False
             if self.settings.discovery is Discovery.SUBSCRIBE:
-                self.ask_at = self.now + SECOND // 2 + round(self.random.random() * self.ask_span())
+                least = SECOND // 2 if self.asks_failed else 0
+                self.ask_at = self.now + least + round(self.random.random() * self.ask_span())
                 self.asks_failed += 1
             return
         if event.scope is not ListScope.CACHED:
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,112 @@
+"""The watch of the list: what can go wrong with it just as news is due, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from garnetrelay import discovery, relay
+from tests.sockets import Call, Field, HttpServer, Platform, endpoint, listing, until
+
+
+async def test_list_may_come_indented_and_in_pieces(field: Field) -> None:
+    client = await field.start()
+    watch = await field.platform.next_watch()
+    other = HttpServer()
+    await other.start()
+    gone, new = endpoint(field.host, status="Terminating"), endpoint(other, "s-2")
+    text = json.dumps(json.loads(listing(42, gone, new)), indent=2)
+    flat = json.dumps({"index": 43, "snapshot": False, "endpoints": []}, indent=0)
+    for line in [*text.split("\n"), "", *flat.split("\n")]:
+        watch.line(line)
+    await until(lambda: field.relays[0].discovery.index == 43)
+    await client.enqueue("m1")
+    (await other.next_call()).answer(200)
+    assert field.host.calls.empty()
+    await other.stop()
+
+
+@pytest.mark.parametrize("spoilt", [
+    "{not a list", '{"index":42,"snapshot":true,"endpoints":[{"name":"s-9"}]}', '{"index":42,', "[]", "}",
+    '{"index":42,"snapshot":false,"endpoints":[]} {', "\xff{}",
+], ids=["no list", "entry", "half", "array", "only an end", "more behind it", "bytes"])
+async def test_line_that_cannot_be_read_loses_no_change(field: Field, spoilt: str) -> None:
+    """The changes that stood in it come again, with the whole list; those before it stay."""
+    field.facts["discovery"] = "automatic"
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(41, endpoint(field.host)))
+    watch.line(spoilt)
+    watch.line("")
+    again = await field.platform.next_watch()
+    assert again.call.line.split()[1].endswith("since=0")
+    again.line(listing(43, endpoint(field.host), endpoint(field.host, "s-2"), snapshot=True))
+    await until(lambda: set(field.relays[0].pacer.hosts) == {"s-1", "s-2"})
+    again.call.break_off()
+    assert (await field.platform.next_watch()).call.line.split()[1].endswith("since=43")
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+async def test_watch_that_is_not_taken_up_is_opened_anew_in_time(
+        field: Field, monkeypatch: pytest.MonkeyPatch, mode: str) -> None:
+    assert discovery.ANSWER_TIME + discovery.SILENCE + relay.WATCH_AGAIN < 6
+    monkeypatch.setattr(discovery, "ANSWER_TIME", 0.1)
+    field.facts["discovery"] = mode
+    await field.start()
+    silent = await field.platform.next_call()
+    assert (await field.platform.next_call()).connection != silent.connection
+
+
+async def test_time_for_an_answer_grows_where_discovery_is_slow(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field.facts["discovery"] = "automatic"
+    await field.start()
+    watch = field.relays[0].discovery
+    assert discovery.MOST_ANSWER_TIME >= 2 * discovery.ANSWER_TIME
+    monkeypatch.setattr(discovery, "ANSWER_TIME", 0.05)
+    watch.move(watch.address)
+    await field.platform.next_call()
+    calls = [await field.platform.next_call() for _ in range(4)]
+    assert len({call.connection for call in calls}) == 4 and watch.failures >= 4
+    await field.platform.next_watch()
+    await until(lambda: watch.failures == 0)
+
+
+async def test_move_between_two_watches_asks_the_new_address_at_once(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The next call for the list is seconds off; what the new address tells is due 4 s from the signal."""
+    await field.start()
+    one = field.relays[0]
+    watch = await field.platform.next_watch()
+    watch.call.break_off()
+    await until(lambda: one.discovery.task is None)
+    one.pacer.ask_at = one.pacer.now + 3600 * 10**9
+    moved = Platform()
+    await moved.start()
+    one.move(type(one.config.discovery).parse(moved.address))
+    began = time.monotonic()
+    await moved.next_watch()
+    assert time.monotonic() - began < 4
+    await moved.stop()
+
+
+async def test_end_of_the_old_watch_behind_a_move_does_not_end_the_new_one(field: Field) -> None:
+    field.facts["discovery"] = "automatic"
+    await field.start()
+    one = field.relays[0]
+    old = await field.platform.next_watch()
+    moved = Platform()
+    await moved.start()
+    task = one.discovery.task
+    old.call.break_off()
+    assert task is not None
+    await asyncio.wait([task])  # over, and nobody has heard of it yet
+    one.move(type(one.config.discovery).parse(moved.address))
+    watch = await moved.next_watch()
+    watch.line(listing(44, endpoint(field.host)))
+    await until(lambda: one.discovery.index == 44)
+    assert moved.calls.empty() and isinstance(watch.call, Call)
+    await moved.stop()
