Take over an endpoint's changed destination, kind, rate and start from the list

Found by reading on_entry in control.py and _entry in discovery.py: group, type and weight were read once, since_ms never. A test over sockets lists an endpoint for another destination: its old messages went there before the fix. Idle connections to a process that another has followed are closed: it may have gone without a word. Ruled out: a changed address, which place() followed already.

--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -36,6 +36,7 @@
     whole: bool
     entries: tuple[io.HostEntry, ...]
     addresses: dict[str, Address]
+    started: dict[str, int]  # when each host last started, as listed
 
 
 class Reader:
@@ -48,13 +49,14 @@
     def read(self, raw: Any) -> News:
         """ValueError if it can't be read: then nothing of it is taken over."""
         try:
-            entries, addresses = [], {}
+            entries, addresses, started = [], {}, {}
             for line in raw["endpoints"]:
                 entry = self._entry(line)
                 entries.append(entry)
                 if entry.availability is not io.Availability.DELETED:
                     addresses[entry.host] = Address.parse(line["address"])
-            return News(int(raw["index"]), bool(raw["snapshot"]), tuple(entries), addresses)
+                    started[entry.host] = int(line.get("since_ms", 0))
+            return News(int(raw["index"]), bool(raw["snapshot"]), tuple(entries), addresses, started)
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
 
@@ -144,7 +146,7 @@
                 self.failures = 0
                 due = loop.time() + SILENCE
                 log.info("watch taken up after version %d", self.index)
-                self.on_news(News(self.index, False, (), {}))  # taken up, also where nothing has changed
+                self.on_news(News(self.index, False, (), {}, {}))  # taken up, also where nothing has changed
             elif isinstance(event, h11.Data):
                 due = loop.time() + SILENCE
                 *whole, pending = (pending + bytes(event.data)).split(b"\n")
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -322,18 +322,22 @@
         self.most_open = most_open
         self.buffer = new_buffer()
         self.addresses: dict[str, Address] = {}
+        self.started: dict[str, int] = {}
         self.open: set[Connection] = set()
         self.idle: dict[str, deque[Connection]] = {}
         self.opening: set[asyncio.Task[None]] = set()
 
-    def place(self, host: str, address: Address, draining: bool) -> None:
-        """Where a host listens now; connections to elsewhere, or to one that drains, are not kept."""
-        if draining or self.addresses.get(host, address) != address:
+    def place(self, host: str, address: Address, draining: bool, started: int) -> None:
+        """Where a host listens now; connections to elsewhere, to one that drains, or to a process that another
+        has followed since, are not kept."""
+        if (draining or self.addresses.get(host, address) != address
+                or self.started.get(host, started) != started):
             self.close_idle(host)
-        self.addresses[host] = address
+        self.addresses[host], self.started[host] = address, started
 
     def remove(self, host: str) -> None:
         self.addresses.pop(host, None)
+        self.started.pop(host, None)
         self.close_idle(host)
 
     def begin(self, exchange: Exchange) -> None:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -389,7 +389,7 @@
             self.zones[entry.host] = entry.zone
             self.dests.add(entry.dest)
             draining = entry.availability is io.Availability.STOPPING
-            self.hosts.place(entry.host, news.addresses[entry.host], draining)
+            self.hosts.place(entry.host, news.addresses[entry.host], draining, news.started[entry.host])
         for host in gone:
             self.zones.pop(host, None)
             self.hosts.remove(host)
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -64,6 +64,8 @@
 
     name: str
     zone: int
+    kind: int = 0
+    rate: float = 0.0  # as listed
     usable: bool = True
     calls: int = 0
     probing: bool = False
@@ -267,17 +269,21 @@
         if entry.availability is Availability.DELETED:
             self.forget(entry.host)
             return
+        known = self.hosts.get(entry.host)
+        if known is not None and (known[0].number, known[1].kind) != (entry.dest, entry.kind):
+            self.forget(entry.host)  # another destination's from now on: its messages must not go there
         if entry.host not in self.hosts:
             kind = self.settings.kinds[entry.kind]
             routes = self.routes.setdefault(entry.dest, [])
             if kind.apart or not routes:
                 routes.append(Destination(entry.dest, kind.per_call))
-            self.hosts[entry.host] = (routes[-1], Host(entry.host, entry.zone))
+            self.hosts[entry.host] = (routes[-1], Host(entry.host, entry.zone, entry.kind, entry.rate))
             routes[-1].hosts.append(self.hosts[entry.host][1])
         dest, host = self.hosts[entry.host]
         host.usable = entry.availability is Availability.RUNNING
-        if self.settings.listed_rates and not dest.listed:
+        if self.settings.listed_rates and (not dest.listed or host.rate != entry.rate):
             dest.listed = entry.rate
+        host.zone, host.rate = entry.zone, entry.rate
 
     def forget(self, name: str) -> None:
         """A host that is gone; its calls run on. A route goes with its last host: memory stays bounded."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -71,7 +71,7 @@
     peer.sock.bind(("127.0.0.1", 0))
     peer.sock.listen()
     hosts = Hosts(settings(), 4)
-    hosts.place("s-1", Address(*peer.sock.getsockname()), draining=False)
+    hosts.place("s-1", Address(*peer.sock.getsockname()), draining=False, started=0)
     stop_at = time.monotonic_ns() + 60_000_000_000
     ended: asyncio.Future[Outcome] = loop.create_future()
     hosts.begin(Exchange("s-1", stop_at, lambda: call("m", None, b"x", stop_at), ended.set_result))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -110,3 +110,34 @@
     await until(lambda: one.discovery.index == 44)
     assert moved.calls.empty() and isinstance(watch.call, Call)
     await moved.stop()
+
+
+async def test_endpoint_that_is_listed_for_another_destination_gets_none_of_the_old_one(field: Field) -> None:
+    field.facts["weightSource"] = "nominal"
+    client = await field.start()
+    one = field.relays[0]
+    watch = await field.platform.next_watch()
+    other = HttpServer()
+    await other.start()
+    moved = {**endpoint(field.host), "group": 4, "weight": 80.0}
+    watch.line(listing(42, moved, endpoint(other, "s-2")))
+    await until(lambda: one.discovery.index == 42 and not one.inbox)
+    for ref, dest, host in (("m1", 3, other), ("m2", 4, field.host)):
+        await client.enqueue(ref, dest=dest)
+        call = await host.next_call()
+        assert call.headers["x-request-id"] == ref
+        call.answer(200)
+    watch.line(listing(43, {**moved, "weight": 20.0}))
+    await until(lambda: one.pacer.routes[4][0].listed == 20.0)
+    await other.stop()
+
+
+async def test_idle_connections_go_with_the_process_they_led_to(field: Field) -> None:
+    """An endpoint that was started anew kept none of them, and may not have said so."""
+    client = await field.start()
+    watch = await field.platform.next_watch()
+    await field.warm(client)
+    net = field.relays[0].hosts
+    await until(lambda: any(net.idle.values()))
+    watch.line(listing(42, {**endpoint(field.host), "since_ms": 1_764_000_000_000}))
+    await until(lambda: not net.open)
