Let a last answer reach its client, and nothing run behind the end of the process

Found by reading clients.py, relay.py and __main__.py; seven tests over sockets, each seen to fail without the fix. At fault: close_between_requests() closed at once behind an answer, which is a reset where the next request has come meanwhile; os._exit() did so to all connections; _overdue() gave a peer its whole time again where something lay unread; a turn due at close() wrote to closed descriptors; _oversee() took over in a process told to end; before serve() a signal had its default effect, and health.ready was set behind stop(). Now our side ends first and the rest 0.1 s later; a request that comes at the end hears BUSY; signals wait for their handlers; a closed relay takes no turn.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -15,6 +15,8 @@
 
 log = logging.getLogger("garnetrelay")
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 async def serve(config: Config) -> None:
     """Run until a signal has ended the relay."""
@@ -30,8 +32,10 @@
     try:
         if config.mgmt is not None:
             log.info("operators' door on %s port %d", *door.start(config.mgmt))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         await relay.start()
         await relay.finished.wait()
+        await relay.end()
     finally:
         door.close()
         relay.close()
@@ -47,6 +51,7 @@
 
 def main() -> int:
     """The exit status."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # until there is somebody to hear them
     level = os.environ.get("RELAY_LOG_LEVEL", "INFO").upper()
     logging.basicConfig(
         level=level if level in logging.getLevelNamesMapping() else "INFO",
--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -22,6 +22,8 @@
 FIRST_REQUEST = 0.5  # seconds in which who has just connected or asked may still have something under way
 REQUEST_TIME = 2.5  # seconds for a whole request to come: a peer is owed an answer or a close within 3
 IDLE_TIME = 2.0  # seconds without a request after which a connection may be closed to make room
+LAST_WORD = 0.1  # seconds for an answer just written to reach its client before the connection is gone
+LOOK_AGAIN = 0.05  # seconds until what lies unread on an overdue connection has been looked at
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
 BACKLOG = 512
@@ -140,6 +142,7 @@
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None  # runs until a request has come whole
         self.quiet_from = 0.0  # when it was opened, or its last request came
+        self.answered_at = 0.0  # when something was last written to it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -157,9 +160,10 @@
         self.server.connections.pop(self, None)
         self._request_came()
 
-    def _await_request(self) -> None:
+    def _await_request(self, seconds: float | None = None) -> None:
         if self.timer is None and not self.closing:
-            self.timer = asyncio.get_running_loop().call_later(REQUEST_TIME, self._overdue)
+            wait = REQUEST_TIME if seconds is None else seconds
+            self.timer = asyncio.get_running_loop().call_later(wait, self._overdue)
 
     def _overdue(self) -> None:
         """No error where nothing has come: a client that begins just now would take it for its answer."""
@@ -169,7 +173,7 @@
         elif self.close_between_requests():
             self.server.silent += 1
         else:
-            self._await_request()
+            self._await_request(LOOK_AGAIN)  # something has just come: its time is up all the same
 
     def _request_came(self) -> None:
         if self.timer is not None:
@@ -248,6 +252,7 @@
             ready.append(self.replies.popleft().data or b"")
         if ready and self.transport is not None and not self.lost:
             self.transport.write(b"".join(ready))
+            self.answered_at = asyncio.get_running_loop().time()
         if self.closing and not self.replies:
             self._linger()
         elif self.server.draining and not self.closing:
@@ -289,9 +294,22 @@
         if poll.poll(0):
             return False
         self.closing = True
-        transport.close()
+        self.hang_up()
         return True
 
+    def hang_up(self) -> None:
+        """End our side. A close with bytes unread is a reset, and takes back an answer just written: the rest
+        waits until that has reached its client. What still comes stays unread, and is handed in elsewhere."""
+        transport, loop = self.transport, asyncio.get_running_loop()
+        if transport is None or transport.is_closing():
+            return
+        if loop.time() - self.answered_at > LAST_WORD or not transport.can_write_eof():
+            transport.close()
+            return
+        transport.pause_reading()
+        transport.write_eof()
+        loop.call_later(LAST_WORD, transport.abort)
+
 
 class Server:
     """Listens for clients and bounds their connections."""
@@ -370,6 +388,14 @@
             if connection.quiet_from <= lately:
                 connection.close_between_requests()
 
+    async def end(self) -> None:
+        """The process ends: what has been answered still reaches its client."""
+        for connection in list(self.connections):
+            connection.closing = True
+            connection.hang_up()
+        if self.connections:
+            await asyncio.sleep(LAST_WORD)
+
     def _close_open(self) -> None:
         """A connection without a request yet is not closed: one is on its way, or its time is soon up."""
         self.draining = True
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -328,8 +328,8 @@
         self.opening: set[asyncio.Task[None]] = set()
 
     def place(self, host: str, address: Address, draining: bool, started: int) -> None:
-        """Where a host listens now; connections to elsewhere, to one that drains, or to a process that another
-        has followed since, are not kept."""
+        """Where a host listens now; connections to elsewhere, to one that drains, or to a process that has
+        ended since, are not kept."""
         if (draining or self.addresses.get(host, address) != address
                 or self.started.get(host, started) != started):
             self.close_idle(host)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -75,6 +75,8 @@
         self.journal = Ownership(config.state, config.disk_bytes, shared)
         self.handover = Handover(config.state, config.disk_bytes // LEARNED_SHARE) if shared else None
         self.overseer: asyncio.Task[None] | None = None
+        self.ending = False  # nothing more is taken on
+        self.closed = False
         self.passed_on = False  # another process sends and serves now
         self.elsewhere = 0  # calls that the process before us still has out
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
@@ -119,7 +121,7 @@
             log.info("waiting for the process before us to let go")
         if self.handover is not None:
             self.overseer = asyncio.get_running_loop().create_task(self._oversee(inherited))
-        self.health.ready = True
+        self.health.ready = not self.stopping  # SIGTERM may have come meanwhile
 
     def stop(self) -> None:
         """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
@@ -167,7 +169,14 @@
         else:
             self.winding_up = asyncio.get_running_loop().call_later(LOOK_EVERY, self._wind_up)
 
+    async def end(self) -> None:
+        """Answer what has come, and see that the answers arrive. What is held stays on record."""
+        self._turn()
+        self.ending = True
+        await self.server.end()
+
     def close(self) -> None:
+        self.ending = self.closed = True
         for timer in (self.alarm, self.report, self.rewatch, self.observe, self.winding_up):
             if timer is not None:
                 timer.cancel()
@@ -260,9 +269,9 @@
     async def _oversee(self, inherited: socket.socket | None) -> None:
         """Take over when the process before us lets go, then what it still leaves until it is gone."""
         assert self.handover is not None
-        while not self.server.address:
+        while not self.server.address and not self.stopping:
             await asyncio.sleep(LOOK_EVERY)
-            if self.handover.take():
+            if not self.stopping and self.handover.take():
                 self.journal.take_up()
                 await self._serve(inherited)
         while not self.stopping:
@@ -333,6 +342,9 @@
 
     def on_request(self, request: Request, reply: Reply) -> None:
         """A client hands in a message. It is answered within the coming turn."""
+        if self.ending:
+            reply.busy(0)
+            return
         if request.klass not in self.class_numbers:
             reply.error(f"unknown class '{request.klass[:40]}'")
             log.info("client request for an unknown class")
@@ -404,6 +416,8 @@
     # ---- a turn
 
     def _turn(self) -> None:
+        if self.closed:
+            return  # the last one was due when we closed: what it would write to is gone
         if self.journal.foreign:
             self._hear()  # a wait told to the other process binds what this turn sends
         self.turn_due = False
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,14 +4,24 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import fcntl
+import os
+import select
+import signal
 import socket
 import struct
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
 
-from garnetrelay import hosts
+from garnetrelay import clients, hosts
+from garnetrelay.relay import Relay
+from starlingwick import interface as io
+from tests.processes import ROOT, free_port
 from tests.sockets import PATIENCE, Field, until
 
 # ---- connections to hosts
@@ -143,3 +153,106 @@
     assert timer.cancelled() and connection.timer is not timer
     (await field.host.next_call()).answer(200)
     await until(lambda: not relay.held)
+
+
+# ---- clients, and the end of the process
+
+async def test_close_behind_an_answer_takes_nothing_back_from_a_client_that_asks_just_then(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The next request lands behind the last look at the socket: closing with it unread would be a reset."""
+    client = await field.start()
+
+    class Look:
+        def register(self, *args: Any) -> None:
+            pass
+
+        def poll(self, timeout: int) -> list[Any]:
+            client.write("PING", "crossing")
+            return []
+
+    field.relays[0].server.draining = True
+    monkeypatch.setattr(select, "poll", Look)
+    assert await client.ask("PING") == b"PONG"
+    assert await client.read() is None
+
+
+async def test_request_that_is_overdue_just_as_a_part_of_it_comes_is_closed_at_once(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "REQUEST_TIME", 1000.0)
+    client = await field.start()
+    server = field.relays[0].server
+    await until(lambda: len(server.connections) == 1)
+    (connection,) = server.connections
+    assert connection.transport is not None and connection.timer is not None
+    connection.transport.pause_reading()
+    client.writer.write(b"*5\r\n$7\r\nENQ")
+    await client.writer.drain()
+    connection.timer.cancel()
+    connection._overdue()
+    connection.transport.resume_reading()
+    assert await client.read() == "ERR no whole request in time"
+
+
+async def test_request_that_comes_as_the_process_ends_is_refused_and_what_is_held_stays(field: Field) -> None:
+    client = await field.start()
+    assert await client.enqueue("m1") == b"OK"
+    await field.host.next_call()
+    relay = field.relays[0]
+    client.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
+    relay.ending = True
+    assert await client.read() == "BUSY"
+    await relay.end()
+    assert await client.read() is None
+    assert set(relay.journal.entries) == {"m1"}
+
+
+async def test_turn_that_was_due_when_the_process_closed_touches_nothing(field: Field) -> None:
+    await field.start()
+    relay = field.relays.pop()
+    relay._post(io.Arrived("m1", 0, 0, 3, None, 10**9))
+    relay.close()
+    await asyncio.sleep(0)
+    relay.server.stop()
+    assert relay.pacer.messages == {}
+
+
+async def test_process_told_to_end_before_it_serves_never_does(field: Field) -> None:
+    lock = os.open(field.state / "sender", os.O_RDWR | os.O_CREAT)
+    fcntl.flock(lock, fcntl.LOCK_EX)
+    listener = socket.create_server(("127.0.0.1", 0))
+    relay = Relay(dataclasses.replace(field.config(), inherited_fd=os.dup(listener.fileno())))
+    field.relays.append(relay)
+    await relay.start()
+    relay.stop()
+    os.close(lock)  # the process before it lets go just now
+    assert relay.overseer is not None
+    async with asyncio.timeout(PATIENCE):
+        await relay.overseer
+    assert relay.server.address is None and not relay.health.ready
+    listener.close()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+async def test_signal_before_the_start_is_done_is_heard_behind_it(
+        field: Field, number: signal.Signals) -> None:
+    environment = {**os.environ, **field.environment(free_port())}
+    path = Path(environment["RELAY_CONFIG"])
+    text, whole = path.read_text(), path.with_suffix(".whole")
+    whole.write_text(text)
+    path.unlink()
+    os.mkfifo(path)
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "garnetrelay", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
+    side = await asyncio.to_thread(path.open, "w")  # it has begun to read its configuration
+    child.send_signal(number)
+    os.rename(whole, path)
+    side.write(text)
+    side.close()
+    assert child.stderr is not None
+    says = b"stopping" if number is signal.SIGTERM else b"discovery and notices move"
+    async with asyncio.timeout(PATIENCE):
+        while says not in (line := await child.stderr.readline()):
+            assert line, "it ended at once"
+        if number is signal.SIGHUP:
+            child.send_signal(signal.SIGTERM)
+        assert await child.wait() == 0
