--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -28,7 +28,7 @@
 MARK = b"\xa7R"  # where reading can begin again behind a damaged record
 MOST_PAYLOAD = 1 << 20
 BLOCK = 512  # a file counts in whole blocks
-LATER = 1024  # what a held message's further records may take, at most: six attempts, outcomes, its end
+LATER = 1024  # what a message's whole record takes beside its names and body, and some further ones with it
 TIDY_FROM = 256 * 1024  # below this, dead records are not worth a rewrite
 
 
@@ -77,9 +77,9 @@
 
     # ---- what happens to a message
 
-    def has_room(self, body_length: int) -> bool:
+    def has_room(self, weight: int) -> bool:
         """Whether one more message fits, also while old and new file stand side by side."""
-        return not self.broken and 2 * (self.live + body_length + LATER) <= self.most
+        return not self.broken and 2 * (self.live + weight + LATER) <= self.most
 
     def taken(self, entry: Entry) -> bool:
         """Whether the message is on record now; without that it must not be taken on."""
@@ -129,12 +129,14 @@
                 self.live -= len(entry.body)
                 entry.ended, entry.wait_ms, entry.body = record["result"], record["wait"], b""
             case "ended" | "told":
-                self.live -= len(entry.body) + LATER
+                self.live -= weight(entry.ref, entry.key, entry.body) + LATER
                 del self.entries[entry.ref]
 
     def _add(self, entry: Entry) -> None:
         old = self.entries.get(entry.ref)
-        self.live += len(entry.body) + LATER - (len(old.body) + LATER if old else 0)
+        self.live += weight(entry.ref, entry.key, entry.body) + LATER
+        if old is not None:
+            self.live -= weight(old.ref, old.key, old.body) + LATER
         self.entries[entry.ref] = entry
 
     # ---- the file
@@ -144,7 +146,9 @@
         if self.size + len(data) > max(self.most - self.live - LATER, 0) or self.size > max(
                 TIDY_FROM, 3 * self.live):
             self._rewrite()
-        if self.broken:
+        if self.broken or self.size + len(data) > max(self.most - self.live, 0):
+            # It could not be written anew: what is left of the disk is for doing so later.
+            log.error("journal: no room for a record: %d of %d bytes, %d live", self.size, self.most, self.live)
             return False
         try:
             _write_all(self.file, data)
@@ -218,6 +222,11 @@
                 entry.uncertain = True
 
 
+def weight(ref: str, key: str | None, body: bytes) -> int:
+    """What of a message's record grows with it; a name may take twice its length where it is escaped."""
+    return len(body) + 2 * (len(ref) + len(key or ""))
+
+
 def _open_locked(path: Path, create: int) -> int:
     while True:
         file = os.open(path, os.O_RDWR | os.O_APPEND | os.O_CLOEXEC | create, 0o600)
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -78,10 +78,10 @@
 
     # ---- what happens to a message
 
-    def has_room(self, body_length: int) -> bool:
+    def has_room(self, weight: int) -> bool:
         """Left journals are ours to count too, until what is in them has ended."""
         left = sum(journal.size for journal in self.journals.values() if journal is not self.own)
-        return self.own.has_room(body_length + left // 2)
+        return self.own.has_room(weight + left // 2)
 
     def taken(self, entry: Entry) -> bool:
         return self.own.taken(entry)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -19,7 +19,7 @@
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
 from garnetrelay.health import Health
-from garnetrelay.journal import Entry
+from garnetrelay.journal import Entry, weight
 from garnetrelay.metrics import End, Metrics
 from garnetrelay.notices import Notices
 from garnetrelay.ownership import LEARNED_SHARE, Ownership
@@ -377,7 +377,7 @@
             dest=request.dest,
             key=request.key,
             patience=request.patience_ms * MS,
-            storable=self.journal.has_room(len(request.body)),
+            storable=self.journal.has_room(weight(request.ref, request.key, request.body)),
         ))
 
     def on_news(self, news: News | None) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from pathlib import Path
+from typing import Any
 
-from garnetrelay.journal import Entry, Journal
+import pytest
+
+from garnetrelay.journal import Entry, Journal, weight
 
 DISK = 3_000_000
 
@@ -107,3 +111,53 @@
     journal.close()
     assert len(Journal(tmp_path, 200_000).entries) == len(journal.entries)
     assert not (tmp_path / "journal.new").exists()
+
+
+def full(tmp_path: Path) -> tuple[Journal, list[str]]:
+    """As many messages with long names as it says it has room for."""
+    journal = Journal(tmp_path, 200_000)
+    refs: list[str] = []
+    while journal.has_room(weight(ref := f"{len(refs):0200}", "\\" * 900, b"x")):
+        assert journal.taken(Entry(ref, "keyed", 3, "\\" * 900, 1_900_000_000_000, b"x"))
+        refs.append(ref)
+    return journal, refs
+
+
+def on_disk(tmp_path: Path) -> int:
+    return sum(path.stat().st_size for path in tmp_path.iterdir())
+
+
+def test_twelve_attempts_of_each_message_stay_within_the_disk(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    journal, refs = full(tmp_path)
+    rename, most = os.rename, [0]
+
+    def measured(*args: Any) -> None:
+        most[0] = max(most[0], on_disk(tmp_path))
+        rename(*args)
+
+    monkeypatch.setattr(os, "rename", measured)
+    for attempt in range(12):
+        for ref in refs:
+            assert journal.trying(ref, "a-zone-with-a-long-name", attempt)
+            journal.outcome(ref, True)
+    assert 0 < most[0] <= 200_000 and on_disk(tmp_path) <= 200_000
+    journal.close()
+    assert {entry.attempts for entry in Journal(tmp_path, 200_000).entries.values()} == {12}
+
+
+def test_journal_that_cannot_be_written_anew_takes_no_more_than_leaves_room_to_do_so(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    journal, refs = full(tmp_path)
+    opened = os.open
+
+    def fails(path: Any, *args: Any) -> int:
+        if str(path).endswith(".new"):
+            raise OSError(errno.EMFILE, "Too many open files")
+        return opened(path, *args)
+
+    monkeypatch.setattr(os, "open", fails)
+    tries = [journal.trying(ref, "north", n) for n in range(20) for ref in refs]
+    assert not tries[-1] and on_disk(tmp_path) + journal.live <= 200_000
+    monkeypatch.undo()
+    assert journal.trying(refs[0], "north", 1) and on_disk(tmp_path) <= 200_000
