Take a 429 without a readable wait for an answer that can't be read

TERMS: what is not readable as the protocol requires may have run; the protocol's 429 names its wait. read_outcome() took one with "X-Backoff-Ms: soon", or with none, for a plain refusal, and an unsafe message went out again. Ruled out: refusals without a wait in service, which are 503.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -128,8 +128,9 @@
             return Outcome(io.Status.OK, finished=True, report=report)
         case 429:
             told = values.get(b"x-backoff-ms", "")
-            wait = int(told) * 1_000_000 if told.isascii() and told.isdigit() and len(told) < 10 else 0
-            return Outcome(io.Status.FULL, wait=wait, report=report)
+            if not told.isascii() or not told.isdigit() or len(told) > 9:
+                return Outcome(io.Status.ERROR, report=report)  # unreadable as the protocol words it
+            return Outcome(io.Status.FULL, wait=int(told) * 1_000_000, report=report)
         case 503 if values.get(b"x-egress-full") == "1":
             return Outcome(io.Status.MOOT, no_slot=True, report=report)
         case 503:
--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -148,7 +148,8 @@
             self._rewrite()
         if self.broken or self.size + len(data) > max(self.most - self.live, 0):
             # It could not be written anew: what is left of the disk is for doing so later.
-            log.error("journal: no room for a record: %d of %d bytes, %d live", self.size, self.most, self.live)
+            log.error("journal: no room for a record: %d of %d bytes, %d live",
+                      self.size, self.most, self.live)
             return False
         try:
             _write_all(self.file, data)
