--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -117,11 +117,11 @@
         inherited = None if descriptor is None else socket.socket(fileno=descriptor)
         if self.handover is None or self.handover.take():
             await self._serve(inherited)
-        else:
-            log.info("waiting for the process before us to let go")
         if self.handover is not None:
             self.overseer = asyncio.get_running_loop().create_task(self._oversee(inherited))
         self.health.ready = not self.stopping  # SIGTERM may have come meanwhile
+        if self.server.address is None:
+            log.info("waiting for the process before us to let go")
 
     def stop(self) -> None:
         """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,7 +15,7 @@
 from starlingwick import interface as io
 from tests.helpers import MS, S, Relay, entry
 from tests.processes import Process, free_port
-from tests.sockets import PATIENCE, Client, Field, http
+from tests.sockets import PATIENCE, Client, Field, http, until
 
 
 class Pair:
@@ -119,6 +119,25 @@
         assert asyncio.get_running_loop().time() >= told + 1.5
 
 
+async def test_wait_told_by_half_an_answer_to_the_old_process_binds_the_new_one(
+        field: Field, pair: Pair) -> None:
+    """The rest never comes: without the head's own line the wait would be lost with the process."""
+    client = await pair.old.start()
+    assert await client.enqueue("out") == b"OK"
+    out = await field.host.next_call()
+    await pair.new.start("waiting for the process before us")
+    assert pair.old.child is not None
+    pair.old.child.send_signal(signal.SIGTERM)
+    await pair.new.says("serves on")
+    out.raw(b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 9\r\n\r\n")
+    told = asyncio.get_running_loop().time()
+    await until(lambda: b'"told"' in (field.state / "handover").read_bytes())
+    late = await pair.connect()
+    assert await late.enqueue("new") == b"OK"
+    (await field.host.next_call()).answer(200)
+    assert asyncio.get_running_loop().time() >= told + 1.49
+
+
 async def test_calls_are_given_up_before_their_journal_is_free(field: Field) -> None:
     """With the journal's lock gone, the other process may send at once: no turn of the loop lies between."""
     client = await field.start()
