Try each message owed a call once before any of them twice

At fault: plan()'s order among what is owed a call, by deadline alone. Now by attempts first. Ruled out: the list (version 8 as before the restart), the pace (26 tries a second went out, enough for all).

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -821,7 +821,9 @@
         if self.stopping_at < NEVER:
             ready = [m for m in ready
                      if not all(self.is_for_the_next_life(m, dest) for dest in self.routes[m.dest])]
-        ready.sort(key=lambda m: (not m.owed, 0 if m.owed else -self.urgency(m), m.deadline, m.arrived))
+        # Of those owed a call, one that could not connect stands back for who has had no try at all.
+        ready.sort(key=lambda m: (not m.owed, m.attempts if m.owed else -self.urgency(m), m.deadline,
+                                  m.arrived))
         shut: set[int] = set()  # with hundreds held, a look at each one's gate takes a relay's whole CPU
         for m in ready:
             if not self.has_slot():
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -164,3 +164,14 @@
         sent |= {send.call for send in relay.sends()}
         ended |= {a.call for a in relay.of(io.Refuse)} - sent
     assert {f"r{n}" for n in range(20)} <= sent and not {call for call in ended if call.startswith("r")}
+
+
+def test_each_is_tried_once_before_any_twice_where_nothing_connects() -> None:
+    relay = Relay(entry("a", rate=40.0), listed_rates=True)
+    relay.turn(*[recovered(f"r{n}", SAFE, patience=8 * S + n * MS) for n in range(20)])
+    tried = [send.call for send in relay.sends()]
+    while len(tried) < 20:
+        failed = [relay.verdict(send.call, io.Status.CONNECT_FAILED) for send in relay.sends()]
+        relay.turn(*failed, after=50 * MS)
+        tried += [send.call for send in relay.sends()]
+    assert set(tried) == {f"r{n}" for n in range(20)}
