Tell a delivery as the message's time runs out by a notice, too

Cause: a client counts a message's time from its sending, we from our reading, up to 400 ms later. A 200 in between was a delivery to us, told by no notice; to the client its time was over, and nothing had ended it.

Change: a delivery in the last 400 ms by our count is told as `dead`, too. A notice for a message that is over does no harm.

Both new tests fail without it.

--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -39,6 +39,7 @@
 OBSERVE_EVERY = 0.2  # seconds between looks at what the Pacer avoids: a figure may be late by 0.5
 REPORT_DESTS = 3  # destinations named there
 LISTEN_ON = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
+CLIENT_WAIT_MS = 400  # for our answer: by so much at most a client's count of its time is ahead of ours
 
 
 @dataclass(slots=True, eq=False)
@@ -512,8 +513,10 @@
                 self.handover.tell({
                     "host": send.host, "status": outcome.status, "sent_at": started, "wait": outcome.wait,
                     "cost": time.monotonic_ns() - started, "stale": outcome.stale})
-            if outcome.finished:  # with any other status it is over without us: withdrawn, or out of time
-                self._finish(message, None, 0, End.ANSWERED if outcome.status is io.Status.OK else None)
+            if outcome.status is io.Status.OK:
+                self._finish(message, "dead" if self._may_be_late(message) else None, 0, End.ANSWERED)
+            elif outcome.finished:  # it is over without us: withdrawn, or out of time
+                self._finish(message, None, 0, None)
             if message.over:
                 self.held.pop(message.ref, None)
             self._post(io.Verdict(
@@ -557,6 +560,13 @@
             self.journal.ended(ref, result, wait_ms)
             self.notices.tell(ref, result, wait_ms)
 
+    def _may_be_late(self, message: Held) -> bool:
+        """Whether a delivery may have come when the message's time was up as its client counts it, which is
+        earlier than we do by up to the time it waits for our answer. Such a delivery ends nothing, and a
+        notice for a message that is over does no harm: both ends are told, and one of them counts."""
+        entry = self.journal.entries.get(message.ref)
+        return entry is not None and time.time_ns() // MS >= entry.deadline - CLIENT_WAIT_MS
+
     def _finish(self, message: Held, result: str | None, wait_ms: int, end: End | None) -> None:
         """The one place where a message that was taken on ends."""
         if message.over:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -233,6 +233,30 @@
     assert field.platform.notices.empty()
 
 
+async def test_delivery_as_the_time_runs_out_is_told_by_a_notice_too(field: Field) -> None:
+    """The client counts its 900 ms from when it sent, we from when we read it, up to 400 ms later: a delivery
+    in the last 400 ms by our count may have come after its time, and then it ends nothing."""
+    client = await field.start()
+    await client.enqueue("m1", "unsafe", d=900)
+    call = await field.host.next_call()
+    await asyncio.sleep(0.6)
+    call.answer(200)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    await until(lambda: not field.relays[0].journal.entries)
+    await client.enqueue("m2", "unsafe", d=8000)
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].journal.entries)
+    assert field.platform.notices.empty()
+    assert field.relays[0].metrics.current == 0
+
+
+async def test_answer_that_stopped_short_is_told_by_a_notice_too_when_it_is_given_up(field: Field) -> None:
+    client = await field.start()
+    await client.enqueue("m1", "unsafe", d=500)
+    (await field.host.next_call()).raw(b"HTTP/1.1 200 OK\r\nContent-Le")
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+
+
 async def test_answer_that_cannot_be_read_is_a_reset(field: Field) -> None:
     client = await field.start()
     await client.enqueue("m1", "unsafe")
