Hold the list packed, read it as it comes, and know only destinations in use

Change: `catalog.py` holds all endpoints packed, by destination; a line of over 64 KiB is read entry by entry as it comes; the Pacer and the hosts know a destination from its first message on (`Introduced`), and beyond 1,024 the longest unused that nothing binds is let go (`Released`). With `"list": {"keep": true}` the list lies on the disk too (`keptlist.py`), with checksums and version, and a restart asks for changes since.

A test looked for endpoints among the Pacer's hosts behind a list; they are in the catalog now, where it looks for the same set.

--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -58,6 +58,7 @@
     kind_names: tuple[str, ...]
     load_reports: bool
     known: Any
+    list_bytes: int  # of the disk, for a list kept there; 0: none is
     settings: io.Settings
 
 
@@ -100,6 +101,13 @@
     kinds = tuple(dataclasses.replace(kind, per_call=1) for kind in settings.kinds)
     mgmt = environment.get("RELAY_MGMT") or raw.get("mgmt")
     inherited = environment.get("RELAY_INHERITED_FD")
+    disk_bytes = int(float(limits.get("disk_mb", 64)) * 1_000_000)
+    kept = raw.get("list", {})
+    list_bytes = 0
+    if kept.get("keep", False):
+        list_bytes = int(float(kept["disk_mb"]) * 1_000_000) if "disk_mb" in kept else disk_bytes // 2
+        if not 0 < list_bytes < disk_bytes:
+            raise ValueError(f"list.disk_mb: {list_bytes} bytes, of {disk_bytes} by limits.disk_mb")
     return Config(
         name=str(environment.get("RELAY_NAME") or raw["name"]),
         listen=Address.parse(environment.get("RELAY_LISTEN") or raw["listen"]),
@@ -110,12 +118,13 @@
         seed=int.from_bytes(hashlib.sha256(str(raw.get("seed", "")).encode()).digest()[:8]),
         inherited_fd=int(inherited) if inherited else None,
         sockets=int(limits.get("sockets", 1024)),
-        disk_bytes=int(float(limits.get("disk_mb", 64)) * 1_000_000),
+        disk_bytes=disk_bytes - list_bytes,
         memory_bytes=int(float(limits.get("memory_mb", 192)) * 1_000_000),
         class_names=tuple(str(c["name"]) for c in facts["classes"]),
         zone_names=tuple(str(zone) for zone in facts.get("azs", ())),
         kind_names=tuple(str(kind) for kind in facts.get("kinds", ())),
         load_reports=facts.get("loadReport", {}).get("via", "off") != "off",
         known=raw.get("known"),
+        list_bytes=list_bytes,
         settings=dataclasses.replace(settings, kinds=kinds),
     )
--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -1,16 +1,23 @@
-"""The list of hosts, from discovery: one watch at a time, opened when the Pacer asks for it."""
+"""The list of hosts, from discovery: one watch at a time, opened when the Pacer asks for it.
+
+A line may hold the whole list of a fleet, some tens of megabytes: one too long to be kept is read entry by
+entry as it comes, and each entry is staged at once in the form in which the catalog holds it.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import codecs
 import json
 import logging
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import h11
 
+from garnetrelay.catalog import Endpoint, Staged
 from garnetrelay.config import Address, Config
 from starlingwick import interface as io
 
@@ -19,7 +26,12 @@
 ANSWER_TIME = 2.0  # seconds to be taken up in; what a watch misses counts as told 6 s after it fell silent
 MOST_ANSWER_TIME = 5.0  # where that fails again and again: discovery may work through its calls in turn
 SILENCE = 3.0  # seconds without a line, of which one comes every 2: the watch is dead
-MOST_LINE = 4 << 20
+MOST_KEPT = 64 * 1024  # bytes of an object that are kept until it is whole; a longer one is read as it comes
+MOST_ENTRY = 16 * 1024  # characters of one entry
+SPACE = re.compile(r"[ \t\r\n]*")
+EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
+
+NOWHERE = Address("", 0)  # of what is gone
 
 STATES = {
     "Ready": io.Availability.RUNNING,
@@ -30,47 +42,62 @@
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """One version of the list, or the changes since the one before, in the Pacer's terms."""
+    """One version of the list, or the changes since the one before."""
 
     index: int
     whole: bool
-    entries: tuple[io.HostEntry, ...]
-    addresses: dict[str, Address]
-    started: dict[str, int]  # when each host last started, as listed
+    staged: Staged
 
 
 class Reader:
-    """Turns discovery's form into the Pacer's."""
+    """Turns discovery's form into the catalog's. ``stage`` makes the place for one version's entries."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, stage: Callable[[], Staged]) -> None:
         self.zones = {name: number for number, name in enumerate(config.zone_names)}
         self.kinds = {name: number for number, name in enumerate(config.kind_names)}
+        self.most_staged = config.memory_bytes // 2
+        self.stage = stage
 
     def read(self, raw: Any) -> News:
         """ValueError if it can't be read: then nothing of it is taken over."""
+        staged = self.stage()
         try:
-            entries, addresses, started = [], {}, {}
             for line in raw["endpoints"]:
-                entry = self._entry(line)
-                entries.append(entry)
-                if entry.availability is not io.Availability.DELETED:
-                    addresses[entry.host] = Address.parse(line["address"])
-                    started[entry.host] = int(line.get("since_ms", 0))
-            return News(int(raw["index"]), bool(raw["snapshot"]), tuple(entries), addresses, started)
-        except (KeyError, TypeError, AttributeError) as error:
+                self.add(staged, line)
+        except (KeyError, TypeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
+        return self.news(raw, staged)
 
-    def _entry(self, line: dict[str, Any]) -> io.HostEntry:
-        if line["status"] not in STATES:
-            raise ValueError(f"unknown status {line['status']!r}")
-        return io.HostEntry(
-            host=str(line["name"]),
-            zone=self.zones[line["zone"]] if self.zones else 0,
-            kind=self.kinds[line["type"]] if self.kinds else 0,
-            dest=int(line["group"]),
-            availability=STATES[line["status"]],
-            rate=float(line.get("weight", 1.0)),
-        )
+    def news(self, facts: Any, staged: Staged) -> News:
+        """What an object says beside its entries. ValueError if it can't be read."""
+        try:
+            if "endpoints" not in facts:
+                raise KeyError("endpoints")
+            return News(int(facts["index"]), bool(facts["snapshot"]), staged)
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+
+    def add(self, staged: Staged, line: Any) -> None:
+        """Stage one entry. ValueError if it can't be read."""
+        try:
+            if line["status"] not in STATES:
+                raise ValueError(f"unknown status {line['status']!r}")
+            availability = STATES[line["status"]]
+            gone = availability is io.Availability.DELETED
+            staged.add(Endpoint(
+                name=str(line["name"]),
+                dest=int(line["group"]),
+                zone=self.zones[line["zone"]] if self.zones else 0,
+                kind=self.kinds[line["type"]] if self.kinds else 0,
+                availability=availability,
+                rate=float(line.get("weight", 1.0)),
+                started=0 if gone else int(line.get("since_ms", 0)),
+                address=NOWHERE if gone else Address.parse(line["address"]),
+            ))
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+        if staged.size > self.most_staged:
+            raise ValueError(f"a list of over {self.most_staged} bytes")
 
 
 class Discovery:
@@ -134,7 +161,7 @@
         writer.write(http.send(h11.Request(
             method="GET", target=target, headers=[("Host", str(self.address))])) or b"")
         writer.write(http.send(h11.EndOfMessage()) or b"")
-        loop, pending, lines = asyncio.get_running_loop(), b"", Lines()
+        loop, lines = asyncio.get_running_loop(), Lines(self.reader)
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
@@ -146,42 +173,60 @@
                 self.failures = 0
                 due = loop.time() + SILENCE
                 log.info("watch taken up after version %d", self.index)
-                self.on_news(News(self.index, False, (), {}, {}))  # taken up, also where nothing has changed
+                self.on_news(News(self.index, False, self.reader.stage()))  # also where nothing has changed
             elif isinstance(event, h11.Data):
                 due = loop.time() + SILENCE
-                *whole, pending = (pending + bytes(event.data)).split(b"\n")
-                for line in whole:
-                    self._line(lines, line)
-                if len(pending) + lines.size > MOST_LINE:
-                    raise ValueError("a line without end")
+                self._read(lines, bytes(event.data))
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 raise ConnectionError("discovery closed it")
 
-    def _line(self, lines: Lines, line: bytes) -> None:
+    def _read(self, lines: Lines, data: bytes) -> None:
         """ValueError, and the watch's end, where it can't be read: to go on with what comes behind would lose
         its changes, so the whole list is asked for next."""
         try:
-            raw = lines.feed(line)
-            if raw is None:
-                return
-            news = self.reader.read(raw)
+            for news in lines.feed(data):
+                self.whole = False
+                self.index = news.index
+                self.on_news(news)
         except ValueError:
             self.whole = True
             raise
-        self.whole = False
-        self.index = news.index
-        self.on_news(news)
 
 
 class Lines:
-    """Puts together what may come indented: an object goes from its first line to the one that closes it."""
+    """Puts together what may come indented and in pieces: an object goes from its first line to the one that
+    closes it. One that grows too long to be kept until then is read as it comes."""
 
-    def __init__(self) -> None:
+    def __init__(self, reader: Reader) -> None:
+        self.reader = reader
+        self.pending = b""  # of a line that has not come whole
         self.begun: list[bytes] = []
         self.size = 0
+        self.long: LongObject | None = None
+
+    def feed(self, data: bytes) -> Iterator[News]:
+        """What is whole now. ValueError where it can't be read."""
+        while data:
+            if self.long is not None:
+                rest = self.long.feed(data)
+                if rest is None:
+                    return
+                yield self.reader.news(self.long.facts, self.long.staged)
+                self.long, data = None, rest
+                continue
+            *whole, self.pending = (self.pending + data).split(b"\n")
+            data = b""
+            for line in whole:
+                raw = self._line(line)
+                if raw is not None:
+                    yield self.reader.read(raw)
+            if len(self.pending) + self.size > MOST_KEPT:
+                data = b"\n".join([*self.begun, self.pending])
+                self.long = LongObject(self.reader)
+                self.pending, self.begun, self.size = b"", [], 0
 
-    def feed(self, line: bytes) -> Any:
-        """The object that ends with this line, None where none does. ValueError where it can't be read."""
+    def _line(self, line: bytes) -> Any:
+        """The object that ends with this line, None where none does."""
         line = line.rstrip()
         if line:
             self.begun.append(line)
@@ -197,3 +242,91 @@
             raise
         self.begun, self.size = [], 0
         return raw
+
+
+class LongObject:
+    """One version of the list, read as it comes: no more than one entry of it is kept as text. The standard
+    library's decoder reads each entry and value; only what stands between them is looked at here."""
+
+    def __init__(self, reader: Reader) -> None:
+        self.reader = reader
+        self.staged = reader.stage()
+        self.facts: dict[str, Any] = {}  # the object's values but its entries
+        self._decode = json.JSONDecoder().raw_decode
+        self._bytes = codecs.getincrementaldecoder("utf-8")()
+        self._text = ""
+        self._at = 0
+        self._expects = "{"
+        self._key = ""
+
+    def feed(self, data: bytes) -> bytes | None:
+        """What stands behind the object once it is whole, None before. ValueError where it can't be read."""
+        self._text = self._text[self._at:] + self._bytes.decode(data)
+        self._at = 0
+        while self._expects:
+            space = SPACE.match(self._text, self._at)
+            assert space is not None  # it may be empty
+            begins = space.end()
+            if EMPTY_LINE.search(self._text, self._at, begins):
+                raise ValueError("an empty line within an object")
+            if begins - self._at > MOST_ENTRY:
+                raise ValueError("nothing but space")
+            if begins == len(self._text):
+                self._at = max(self._at, self._text.rfind("\n", self._at))  # the next may make an empty line
+                return None
+            if not self._step(begins):
+                if EMPTY_LINE.search(self._text, begins) or len(self._text) - begins > MOST_ENTRY:
+                    raise ValueError(f"not JSON: {self._text[begins:begins + 40]!r}")
+                self._at = begins
+                return None
+        return self._text[self._at:].encode()
+
+    def _step(self, at: int) -> bool:
+        """Take the next token or value. False where more has to come."""
+        char = self._text[at]
+        match self._expects, char:
+            case ("{", "{"):
+                self._expects = "first key"
+            case ("first key" | ",", "}"):
+                self._expects = ""
+            case (",", ","):
+                self._expects = "key"
+            case ("first key" | "key", '"'):
+                return self._value(at, lambda key: self._named(str(key)))
+            case (":", ":"):
+                self._expects = "[" if self._key == "endpoints" else "value"
+            case ("value", _):
+                return self._value(at, self._fact)
+            case ("[", "["):
+                self.facts[self._key], self._expects = None, "first entry"
+            case ("first entry" | ",]", "]"):
+                self._expects = ","
+            case (",]", ","):
+                self._expects = "entry"
+            case ("first entry" | "entry", "{"):
+                return self._value(at, self._entry)
+            case _:
+                raise ValueError(f"not a list: {self._text[at:at + 40]!r}")
+        self._at = at + 1
+        return True
+
+    def _value(self, at: int, take: Callable[[Any], None]) -> bool:
+        try:
+            value, end = self._decode(self._text, at)
+        except json.JSONDecodeError:
+            return False
+        if end == len(self._text) and self._text[end - 1] not in '"}]':
+            return False  # a number may go on
+        take(value)
+        self._at = end
+        return True
+
+    def _named(self, key: str) -> None:
+        self._key, self._expects = key, ":"
+
+    def _fact(self, value: Any) -> None:
+        self.facts[self._key], self._expects = value, ","
+
+    def _entry(self, line: Any) -> None:
+        self.reader.add(self.staged, line)
+        self._expects = ",]"
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -14,12 +14,14 @@
 from dataclasses import dataclass
 
 from garnetrelay import hosts as net
+from garnetrelay.catalog import Catalog, Endpoint, draining
 from garnetrelay.clients import Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
 from garnetrelay.health import Health
 from garnetrelay.journal import Entry, weight
+from garnetrelay.keptlist import KeptList
 from garnetrelay.metrics import End, Metrics
 from garnetrelay.notices import Notices
 from garnetrelay.ownership import LEARNED_SHARE, Ownership
@@ -81,8 +83,12 @@
         self.passed_on = False  # another process sends and serves now
         self.elsewhere = 0  # calls that the process before us still has out
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
-        self.zones: dict[str, int] = {}  # by host
-        self.dests: set[int] = set()  # all that the list has ever named
+        self.catalog = Catalog()
+        self.kept: KeptList | None = None
+        if config.list_bytes:
+            self.kept = KeptList(config.state, config.list_bytes, config.zone_names, config.kind_names)
+        self.used: dict[int, list[Endpoint]] = {}  # destinations that the Pacer and the hosts know of
+        self.zones: dict[str, int] = {}  # by host of those
         self.held: dict[str, Held] = {}
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
@@ -100,7 +106,7 @@
         # Half of the descriptors for hosts, a third for clients; the rest for discovery and files.
         self.hosts = net.Hosts(config.settings, config.sockets // 2)
         self.server = Server(self.on_request, max(1, config.sockets // 3))
-        self.reader = Reader(config)
+        self.reader = Reader(config, self.catalog.stage)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
         self.notices = Notices(config.discovery, self.journal.told)
 
@@ -189,6 +195,8 @@
         self.journal.close()
         if self.handover is not None:
             self.handover.close()
+        if self.kept is not None:
+            self.kept.close()
 
     def _report(self) -> None:
         """Figures for the people on call: what we hold, what came back, and what holds up the rest."""
@@ -205,20 +213,32 @@
 
     def _observe(self) -> None:
         """Note what only the Pacer knows: the figures are read by another thread."""
-        self.metrics.cluster_size, self.metrics.cluster_unhealthy = self.pacer.cluster(time.monotonic_ns())
+        _, avoided = self.pacer.cluster(time.monotonic_ns())
+        self.metrics.cluster_size = len(self.catalog)
+        drain = self.catalog.draining  # and those of them that the Pacer knows count as avoided
+        if drain:
+            drain -= sum(draining(self.catalog.packed.get(dest, b"")) for dest in self.used)
+        self.metrics.cluster_unhealthy = avoided + drain
         self.observe = asyncio.get_running_loop().call_later(OBSERVE_EVERY, self._observe)
 
     # ---- the start
 
     def _read_known(self) -> None:
+        """The list to start with: what the configuration names, or what an earlier life kept if that is
+        newer."""
         try:
             news = self.reader.read(self.config.known)
         except ValueError as error:
             log.warning("the list in the configuration can't be read, starting without one: %s", error)
+            news = None
+        if self.kept is not None and self.kept.load(self.catalog, -1 if news is None else news.index):
+            self.discovery.index = self.catalog.version
+        elif news is not None:
+            self.discovery.index = news.index
+            self.catalog.commit(news.staged, news.index, whole=True)
+        else:
             return
-        self.discovery.index = news.index
-        self._place(news)
-        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
+        self.inbox.append(io.Roster(io.ListScope.CACHED, ()))
 
     def _recover(self, entries: list[Entry]) -> None:
         """Messages and notices that were another process's, or an earlier life's, are ours now."""
@@ -233,6 +253,7 @@
                 untried = not entry.attempts and not entry.uncertain
                 self._hold(Held(entry.ref, entry.klass, entry.key, entry.body, entry.attempts,
                                 inherited=untried))
+                self._use(entry.dest)
                 self._post(self._recovered(entry, now_ms))
         if entries:
             log.info("picked up %d messages and notices, %d never tried", len(entries),
@@ -290,6 +311,9 @@
             try:
                 if "learned" in line:
                     self.elsewhere = int(line["out"])
+                    for host in line["learned"]["hosts"]:
+                        if (dest := self.catalog.destination(host)) is not None:
+                            self._use(dest)
                     self._post(io.Learned(line["learned"]))
                 elif "told" in line:
                     self._post(io.Told("", line["told"], line["wait"]))
@@ -350,7 +374,7 @@
             reply.error(f"unknown class '{request.klass[:40]}'")
             log.info("client request for an unknown class")
             return
-        if request.dest not in self.dests:
+        if not self.catalog.knows(request.dest):
             reply.error(f"unknown destination {request.dest}")
             log.info("client request for an unknown destination %d", request.dest)
             return
@@ -371,6 +395,7 @@
             return
         deadline = time.time_ns() // MS + request.patience_ms
         self.newcomers[request.ref] = Newcomer(request, reply, deadline)
+        self._use(request.dest)
         self._post(io.Arrived(
             call=request.ref,
             tenant=0,
@@ -387,25 +412,54 @@
                 self.rewatch = asyncio.get_running_loop().call_later(WATCH_AGAIN, self.discovery.subscribe)
             self._post(io.Roster(io.ListScope.FAILED, ()))
             return
-        self._place(news)
+        touched = self.catalog.commit(news.staged, news.index, news.whole)
+        if self.kept is not None and not self.passed_on:
+            self.kept.keep(self.catalog, touched, news.whole)
         scope = io.ListScope.WHOLE if news.whole else io.ListScope.CHANGES
-        self._post(io.Roster(scope, news.entries))
-
-    def _place(self, news: News) -> None:
-        """Where each host listens now. Connections to those that drain or went are closed."""
-        named = {entry.host for entry in news.entries}
-        gone = [host for host in self.zones if host not in named] if news.whole else []
-        for entry in news.entries:
-            if entry.availability is io.Availability.DELETED:
-                gone.append(entry.host)
+        self._post(io.Roster(scope, self._renew(touched, news.whole)))
+
+    def _renew(self, touched: set[int], whole: bool) -> tuple[io.HostEntry, ...]:
+        """What the Pacer has to hear of the destinations in use: all that is left of them, or what has
+        changed. Connections to hosts that drain or went are closed."""
+        gone: dict[str, Endpoint] = {}
+        current: dict[str, Endpoint] = {}
+        for dest in self.used if whole or len(touched) > len(self.used) else touched & self.used.keys():
+            before = self.used[dest]
+            if dest in touched:
+                self.used[dest] = self.catalog.find(dest)
+                gone |= {endpoint.name: endpoint for endpoint in before}
+            elif not whole:
                 continue
-            self.zones[entry.host] = entry.zone
-            self.dests.add(entry.dest)
-            draining = entry.availability is io.Availability.STOPPING
-            self.hosts.place(entry.host, news.addresses[entry.host], draining, news.started[entry.host])
-        for host in gone:
-            self.zones.pop(host, None)
-            self.hosts.remove(host)
+            current |= {endpoint.name: endpoint for endpoint in self.used[dest]}
+        for name in gone.keys() - current.keys():
+            self._forget(name)
+        for endpoint in current.values():
+            self._know(endpoint)
+        deleted = () if whole else (gone[name].entry(io.Availability.DELETED)
+                                    for name in gone if name not in current)
+        return (*deleted, *(endpoint.entry() for endpoint in current.values()))
+
+    def _use(self, dest: int) -> None:
+        """A message for it is on its way to the Pacer, which is to know its hosts first."""
+        if dest in self.used:
+            return
+        endpoints = self.used[dest] = self.catalog.find(dest)
+        for endpoint in endpoints:
+            self._know(endpoint)
+        self._post(io.Introduced(dest, tuple(endpoint.entry() for endpoint in endpoints)))
+
+    def _release(self, dest: int) -> None:
+        for endpoint in self.used.pop(dest, ()):
+            self._forget(endpoint.name)
+
+    def _know(self, endpoint: Endpoint) -> None:
+        self.zones[endpoint.name] = endpoint.zone
+        self.hosts.place(endpoint.name, endpoint.address,
+                         endpoint.availability is io.Availability.STOPPING, endpoint.started)
+
+    def _forget(self, host: str) -> None:
+        self.zones.pop(host, None)
+        self.hosts.remove(host)
 
     def _post(self, event: io.Event) -> None:
         """One batch holds all that is ready: the turn runs when the loop has read what lies there."""
@@ -468,6 +522,8 @@
                 self._probe(action)
             case io.Close(host):
                 self.hosts.close_idle(host)
+            case io.Released(dest):
+                self._release(dest)
             case io.Wake(after, token):
                 self._set_alarm(after, token)
             case io.Subscribe():
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -14,13 +14,14 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
+from itertools import islice
 from typing import Any
 
 from starlingwick.interface import (
-    Action, Alarm, Arrived, Availability, Close, Decay, Discovery, Elsewhere, Event, Fail, HostEntry, Learned,
-    ListScope, Log, MessageClass, Overheard, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope,
-    Send, Settings, Status, Stopping, Subscribe, Told, Verdict,
-    Wake, Withdrawn,
+    Action, Alarm, Arrived, Availability, Close, Decay, Discovery, Elsewhere, Event, Fail, HostEntry,
+    Introduced, Learned, ListScope, Log, MessageClass, Overheard, Probe, Probed, Recovered, Refuse, Released,
+    Repeat, Report, Roster, Scope, Send, Settings, Status, Stopping, Subscribe, Told, Verdict, Wake,
+    Withdrawn,
 )
 
 SECOND = 1_000_000_000
@@ -49,6 +50,8 @@
 ASK_SOON = SECOND  # for the first call behind a lost watch: its silence has lasted, and news is due
 ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
+MOST_USED = 1024  # destinations that are known without need: some seconds' traffic of a relay that sees many
+LOOKS = 4  # at what may be let go, each turn
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
@@ -165,6 +168,7 @@
         self.expiry: list[tuple[int, str]] = []
         self.routes: dict[int, list[Destination]] = {}  # by destination number
         self.hosts: dict[str, tuple[Destination, Host]] = {}
+        self.introduced: dict[int, None] = {}  # destinations known only while used, longest unused first
         self.freed: list[Host] = []  # hosts whose call ended this turn
         self.calls: dict[Call, None] = {}  # out, oldest first: each holds a slot
         self.elsewhere = 0  # calls out in another process of this relay: they hold slots too
@@ -210,6 +214,10 @@
                         self.finish(self.messages[event.call])
                 case Roster():
                     self.on_roster(event)
+                case Introduced():
+                    self.introduced[event.dest] = None
+                    for entry in event.entries:
+                        self.on_entry(entry)
                 case Probed():
                     self.on_probed(event)
                 case Alarm():  # a coarser clock may bring it a moment early: it is spent all the same
@@ -223,6 +231,7 @@
         self.shed()
         self.plan()
         self.close_idle()
+        self.let_go()
         if self.wake_at < self.alarm_at:
             self.alarm_at = max(self.wake_at, now + 1)
             self.alarm += 1
@@ -294,6 +303,36 @@
             if not dest.hosts and len(self.routes[dest.number]) > 1:
                 self.routes[dest.number].remove(dest)
 
+    def use(self, number: int) -> None:
+        """A message has come for it: it is the last that would be let go."""
+        if number in self.introduced:
+            del self.introduced[number]
+            self.introduced[number] = None
+
+    def let_go(self) -> None:
+        """A fleet's relay meets more destinations than it has room for, each seldom: what it knows of one
+        that is well is out of date before it is used again."""
+        for number in list(islice(self.introduced, min(LOOKS, max(0, len(self.introduced) - MOST_USED)))):
+            if self.may_forget(number):
+                del self.introduced[number]
+                for dest in self.routes.pop(number, ()):
+                    for host in dest.hosts:
+                        del self.hosts[host.name]
+                self.actions.append(Released(number))
+            else:
+                self.use(number)
+
+    def may_forget(self, number: int) -> bool:
+        """Whether nothing waits for it or is out there, and nothing known of it binds: told waits and cold
+        partners do (rules 4 and 6), and so do our own pace and a doubt of its health."""
+        settled = self.now - max(SENT_SPAN, self.settings.rules.ramp_time)
+        return number not in self.waiting and not any(
+            dest.calls or dest.bad > SUSPECT or dest.ceiling is not None or self.is_cold(dest)
+            or max(dest.wait_until, dest.rest_until, dest.next_call, dest.next_at) > self.now
+            or dest.refused_from is not None and dest.pause_at > settled
+            or any(host.probing for host in dest.hosts)
+            for dest in self.routes.get(number, ()))
+
     # ---- messages come and go
 
     def within_share(self, tenant: int) -> bool:
@@ -316,6 +355,7 @@
         message = Message(event.call, klass, event.dest, event.key if klass.in_turn else None, worth,
                           self.now, self.now + event.patience)
         self.messages[event.call] = message
+        self.use(event.dest)
         self.waiting.setdefault(event.dest, {})[event.call] = message
         self.held += 1
         heapq.heappush(self.expiry, (message.deadline - 2 * self.settings.tick, event.call))
@@ -336,6 +376,7 @@
             self.owed[m.name] = m
             self.owed_at[m.dest] += 1
         self.messages[r.call] = m
+        self.use(r.dest)
         self.held += 1
         if m.key is not None:
             self.turns.setdefault(m.key, deque()).append(m)
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -207,6 +207,15 @@
     entries: tuple[HostEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Introduced:
+    """A destination is used from now on: these are its hosts. A host of it need not be told one by one in a
+    roster of changes before that, and is not named in a whole one."""
+
+    dest: int
+    entries: tuple[HostEntry, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
     """A new message."""
@@ -322,8 +331,8 @@
     token: int
 
 
-Event = (Roster | Arrived | Recovered | Learned | Overheard | Told | Elsewhere | Stopping | Withdrawn
-         | Verdict | Probed | Alarm)
+Event = (Roster | Introduced | Arrived | Recovered | Learned | Overheard | Told | Elsewhere | Stopping
+         | Withdrawn | Verdict | Probed | Alarm)
 
 
 @dataclass(frozen=True, slots=True)
@@ -373,6 +382,14 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class Released:
+    """Nothing is known of that destination any more that outweighs the room it takes: it is to be introduced
+    again before it is used. Only for destinations that were introduced."""
+
+    dest: int
+
+
 @dataclass(frozen=True, slots=True)
 class Wake:
     """Ask for an alarm after this long."""
@@ -393,4 +410,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Close | Wake | Subscribe | Log
+Action = Send | Refuse | Fail | Cancel | Probe | Close | Released | Wake | Subscribe | Log
--- a/starlingwick/wirehost.py
+++ b/starlingwick/wirehost.py
@@ -161,6 +161,8 @@
             return f"health_check host={host}"
         case io.Close(host):
             return f"close host={host}"
+        case io.Released(dest):
+            raise AssertionError(f"destination {dest} was never introduced here")
         case io.Wake(after, token):
             return f"defer wait={after} ctx={token}"
         case io.Subscribe():
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -224,6 +224,7 @@
         self.facts = copy.deepcopy(FACTS)
         self.limits: dict[str, float] = {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}
         self.endpoints: list[dict[str, Any]] = []
+        self.extra: dict[str, Any] = {}  # of the configuration's optional parts
         self.relays: list[Relay] = []
 
     async def prepare(self) -> None:
@@ -237,7 +238,7 @@
             "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": self.platform.address, "seed": "5",
             "limits": self.limits, "settings": self.facts,
             **({} if mgmt is None else {"mgmt": f"127.0.0.1:{mgmt}"}),
-            "known": {"index": 41, "snapshot": True, "endpoints": self.endpoints},
+            "known": {"index": 41, "snapshot": True, "endpoints": self.endpoints}, **self.extra,
         }))
         return {"RELAY_CONFIG": str(path), "RELAY_STATE": str(self.state)}
 
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,354 @@
+"""The list as it is held, read and kept: packed, entry by entry, and on the disk."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from garnetrelay import discovery, keptlist
+from garnetrelay.catalog import Catalog, Endpoint
+from garnetrelay.config import Address, Config, ConfigError, load
+from garnetrelay.discovery import Lines, Reader
+from garnetrelay.keptlist import KeptList
+from garnetrelay.relay import Relay
+from starlingwick import interface as io
+from tests.sockets import Client, Field, endpoint, listing, until
+
+RUNNING, STOPPING, DELETED = io.Availability.RUNNING, io.Availability.STOPPING, io.Availability.DELETED
+
+
+def one(name: str, dest: int = 3, availability: io.Availability = RUNNING, port: int = 6379) -> Endpoint:
+    return Endpoint(name, dest, 1, 0, availability, 20.5, 1_764_000_000_000, Address("127.0.0.1", port))
+
+
+def committed(catalog: Catalog, version: int, whole: bool, *endpoints: Endpoint) -> set[int]:
+    staged = catalog.stage()
+    for each in endpoints:
+        staged.add(each)
+    return catalog.commit(staged, version, whole)
+
+
+ENDPOINTS = st.builds(one, st.sampled_from(["a", "b", "c", "é" * 9]), st.integers(1, 4),
+                      st.sampled_from([RUNNING, STOPPING, DELETED]), st.integers(1, 65535))
+
+
+@given(st.lists(st.tuples(st.booleans(), st.lists(ENDPOINTS, max_size=6)), max_size=6))
+def test_catalog_holds_what_a_plain_table_would(news: list[tuple[bool, list[Endpoint]]]) -> None:
+    catalog, table = Catalog(), dict[str, Endpoint]()
+    for version, (whole, endpoints) in enumerate(news):
+        before = {dest: catalog.find(dest) for dest in range(1, 5)}
+        touched = committed(catalog, version, whole, *endpoints)
+        if whole:
+            table = {}
+        last = {each.name: each for each in endpoints}  # named twice: the last one counts
+        table |= last
+        table = {name: each for name, each in table.items() if each.availability is not DELETED}
+        for dest in range(1, 5):
+            found = catalog.find(dest)
+            assert {each.name: each for each in found} == {n: e for n, e in table.items() if e.dest == dest}
+            assert len(found) == len({each.name for each in found})
+            assert dest in touched or found == before[dest]
+            assert catalog.knows(dest) or not found and not before[dest]
+        assert set(catalog) == table.keys() and len(catalog) == len(table)
+        assert catalog.draining == sum(each.availability is STOPPING for each in table.values())
+        assert all(catalog.destination(name) == each.dest for name, each in table.items())
+
+
+def test_destination_that_was_listed_once_is_not_unknown() -> None:
+    catalog = Catalog()
+    committed(catalog, 1, True, one("a"))
+    committed(catalog, 2, False, one("a", availability=DELETED))
+    assert catalog.find(3) == [] and catalog.knows(3) and not catalog.knows(4)
+
+
+def test_entry_that_does_not_fit_is_not_taken_over() -> None:
+    with pytest.raises(ValueError):
+        Catalog().stage().add(one("a" * 70_000))
+
+
+# ---- read entry by entry
+
+
+class Names:
+    """What the reader needs of a configuration."""
+
+    zone_names, kind_names, memory_bytes = ("north", "south"), ("plain",), 64_000_000
+
+
+def reader(catalog: Catalog) -> Reader:
+    return Reader(Names, catalog.stage)  # type: ignore[arg-type]
+
+
+def lines(count: int, **facts: Any) -> list[dict[str, Any]]:
+    return [{"name": f"e-{n}", "address": f"127.0.0.1:{n % 60_000 + 1}", "zone": "north", "type": "plain",
+             "group": n // 2, "status": "Ready", "weight": 20.0, "since_ms": 0, **facts}
+            for n in range(count)]
+
+
+def pieces(data: bytes, seed: int) -> Iterator[bytes]:
+    draw = random.Random(seed)
+    at = 0
+    while at < len(data):
+        step = draw.choice([1, 7, 300, 4096, 65536])
+        yield data[at:at + step]
+        at += step
+
+
+@pytest.mark.parametrize("indent", [None, 0, 2])
+@pytest.mark.parametrize("seed", range(3))
+def test_object_too_long_to_keep_is_read_as_it_comes(indent: int | None, seed: int) -> None:
+    """In pieces of any size, indented or not, with objects before and behind it, whatever its values'
+    order."""
+    entries = lines(1500)
+    small = listing(1, endpoint_line("x"))
+    long = json.dumps({"note": {"endpoints": [1]}, "endpoints": entries, "index": 42, "snapshot": True},
+                      indent=indent)
+    assert len(long) > discovery.MOST_KEPT
+    data = "\n".join(["", small, "", long, "", small, ""]).encode()
+    catalog = Catalog()
+    feed = Lines(reader(catalog))
+    news = [each for piece in pieces(data, seed) for each in feed.feed(piece)]
+    assert [(each.index, each.whole) for each in news] == [(1, False), (42, True), (1, False)]
+    catalog.commit(news[1].staged, 42, True)
+    assert set(catalog) == {line["name"] for line in entries}
+    assert feed.long is None and not feed.pending and not feed.begun
+
+
+def endpoint_line(name: str) -> dict[str, Any]:
+    return lines(1, name=name)[0]
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda text: text.replace('"e-1400"', "e-1400"), lambda text: text[:-40],
+    lambda text: text.replace('"status": "Ready"', '"status": "Odd"'),
+    lambda text: text.replace("},", "}", 1), lambda text: text.replace('"endpoints"', '"nothing"'),
+    lambda text: text.replace('"snapshot": true', '"s": 0'),
+    lambda text: text.replace('"e-1400"', '"\xff\xfe"').encode("latin-1"),
+    lambda text: text.replace('"index": 42', '"index": "x"'), lambda text: text.replace("}]", "}"),
+    lambda text: text.replace('{"index"', '{, "index"'), lambda text: text.replace("[{", "[ 1, {"),
+], ids=["word", "half", "status", "comma", "no list", "no sort", "bytes", "index", "open", "start", "number"])
+def test_long_object_that_cannot_be_read_is_an_error_by_the_next_empty_line(spoil: Any) -> None:
+    text = spoil(json.dumps({"index": 42, "snapshot": True, "endpoints": lines(1500)}))
+    data = (text if isinstance(text, bytes) else text.encode()) + b"\n\n"
+    with pytest.raises(ValueError):
+        feed = Lines(reader(Catalog()))
+        assert [each for piece in pieces(data, 1) for each in feed.feed(piece)] == []
+
+
+def test_list_that_would_take_half_of_the_memory_is_an_error() -> None:
+    small = reader(Catalog())
+    small.most_staged = 50_000
+    with pytest.raises(ValueError, match="50000 bytes"):
+        list(Lines(small).feed(json.dumps({"index": 1, "snapshot": True, "endpoints": lines(3000)}).encode()))
+
+
+# ---- kept on the disk
+
+
+def kept_list(folder: Path, most: int = 10_000_000, zones: tuple[str, ...] = ("n", "s")) -> KeptList:
+    return KeptList(folder, most, zones, ("plain",))
+
+
+async def keep(kept: KeptList, catalog: Catalog, changed: set[int], whole: bool) -> None:
+    kept.keep(catalog, changed, whole)
+    if kept.writing is not None:
+        await kept.writing
+
+
+def content(catalog: Catalog) -> dict[int, list[Endpoint]]:
+    return {dest: catalog.find(dest) for dest in catalog.packed}
+
+
+async def test_kept_list_comes_back_with_its_changes(tmp_path: Path) -> None:
+    catalog, kept = Catalog(), kept_list(tmp_path)
+    await keep(kept, catalog, committed(catalog, 7, True, *(one(f"s{n}", n) for n in range(2000))), True)
+    await keep(kept, catalog, committed(catalog, 8, False, one("s1", 1, DELETED), one("new", 5000)), False)
+    await keep(kept, catalog, committed(catalog, 9, False, one("s2", 2, STOPPING)), False)
+    kept.close()
+    again, restored = kept_list(tmp_path), Catalog()
+    assert not again.load(Catalog(), known=9)  # the configuration names one as new
+    assert again.load(restored, known=8)
+    assert restored.version == 9 and content(restored) == content(catalog) and restored.draining == 1
+    again.close()
+
+
+async def test_change_that_comes_while_the_list_is_written_is_in_it(tmp_path: Path) -> None:
+    catalog, kept = Catalog(), kept_list(tmp_path)
+    kept.keep(catalog, committed(catalog, 7, True, *(one(f"s{n}", n) for n in range(2000))), True)
+    await asyncio.sleep(keptlist.PAUSE)
+    for version, change in enumerate([one("s1", 1, DELETED), one("s1999", 1999, DELETED), one("x", 9)], 8):
+        kept.keep(catalog, committed(catalog, version, False, change), False)
+    assert kept.writing is not None
+    await kept.writing
+    restored = Catalog()
+    assert kept.load(restored, known=0)
+    assert restored.version == 10 and content(restored) == content(catalog)
+    kept.close()
+
+
+async def test_kept_list_is_written_anew_when_its_changes_outgrow_it(tmp_path: Path) -> None:
+    catalog, kept = Catalog(), kept_list(tmp_path)
+    await keep(kept, catalog, committed(catalog, 1, True, one("a")), True)
+    for version in range(2, 2500):
+        await keep(kept, catalog, committed(catalog, version, False, one("a", port=version)), False)
+        assert (tmp_path / "list").stat().st_size < 2 * keptlist.ANEW_FROM
+    restored = Catalog()
+    assert kept.load(restored, known=0) and content(restored) == content(catalog)
+    kept.close()
+
+
+@pytest.mark.parametrize("at", range(0, 100, 9))
+async def test_damage_anywhere_is_noticed_or_an_earlier_version(
+        tmp_path: Path, at: int, caplog: pytest.LogCaptureFixture) -> None:
+    """A flipped bit is one line in the log and no list; a torn end is the list before it."""
+    catalog, kept = Catalog(), kept_list(tmp_path)
+    await keep(kept, catalog, committed(catalog, 7, True, *(one(f"s{n}", n) for n in range(50))), True)
+    before = content(catalog)
+    await keep(kept, catalog, committed(catalog, 8, False, one("new", 1)), False)
+    kept.close()
+    data = (tmp_path / "list").read_bytes()
+    spoilt = bytearray(data)
+    spoilt[len(data) * at // 100] ^= 4
+    for text, left in ((bytes(spoilt), None), (data[:-1], before), (data[:len(data) * at // 120], None)):
+        (tmp_path / "list").write_bytes(text)
+        caplog.clear()
+        again, restored = kept_list(tmp_path), Catalog()
+        if again.load(restored, known=0):
+            assert restored.version in (7, 8)
+            assert content(restored) == (before if restored.version == 7 else content(catalog))
+        else:
+            assert left is None and restored.version == 0 and len(restored) == 0
+            assert len([record for record in caplog.records if record.levelno == logging.WARNING]) == 1
+        again.close()
+
+
+async def test_kept_list_of_other_zones_is_not_used(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    catalog, kept = Catalog(), kept_list(tmp_path)
+    await keep(kept, catalog, committed(catalog, 7, True, one("a")), True)
+    kept.close()
+    again = kept_list(tmp_path, zones=("s", "n"))
+    assert not again.load(Catalog(), known=0) and "another form" in caplog.text
+    again.close()
+
+
+async def test_kept_list_stays_within_its_part_of_the_disk(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    """Old and new file together. What no longer fits is not kept, and an older version stays good."""
+    catalog, kept = Catalog(), kept_list(tmp_path, most=20_000)
+    await keep(kept, catalog, committed(catalog, 7, True, *(one(f"s{n}", n) for n in range(100))), True)
+    await keep(kept, catalog, committed(catalog, 8, False, *(one(f"t{n}", n) for n in range(900))), False)
+    await keep(kept, catalog, committed(catalog, 9, False, one("u")), False)
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) <= 20_000
+    assert "left as it is" in caplog.text
+    restored = Catalog()
+    assert kept.load(restored, known=0) and restored.version == 7 and len(restored) == 100
+    kept.close()
+
+
+async def test_only_the_holder_of_the_lock_writes(tmp_path: Path) -> None:
+    catalog, kept, other = Catalog(), kept_list(tmp_path), kept_list(tmp_path)
+    await keep(kept, catalog, committed(catalog, 7, True, one("a")), True)
+    committed(catalog, 8, False, one("b"))
+    await keep(other, catalog, {3}, False)
+    assert other.file is None and other.writing is None
+    kept.close()
+    await keep(other, catalog, {3}, False)
+    restored = Catalog()
+    assert other.load(restored, known=0) and restored.version == 8
+    other.close()
+
+
+# ---- the relay
+
+
+def big_list(field: Field, version: int, count: int = 30_000) -> str:
+    entries = lines(count, address=field.host.address)
+    return json.dumps({"index": version, "snapshot": True, "endpoints": [*entries, endpoint(field.host)]})
+
+
+async def test_list_of_over_four_mebibytes_is_read_and_its_destinations_are_served(field: Field) -> None:
+    """Only those in use are known to the Pacer; a change reaches them within the drain's time."""
+    client = await field.start()
+    relay = field.relays[0]
+    watch = await field.platform.next_watch()
+    text = big_list(field, 50)
+    assert len(text) > 4 << 20
+    for start in range(0, len(text), 100_000):
+        part = text[start:start + 100_000].encode()
+        watch.call.writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+        await watch.call.writer.drain()
+    watch.line("")
+    await until(lambda: relay.catalog.version == 50)
+    assert len(relay.catalog) == 30_001
+    await client.enqueue("m1", dest=14_999)
+    (await field.host.next_call()).answer(200)
+    assert set(relay.pacer.hosts) == {"e-29998", "e-29999"}
+    watch.line(listing(51, {**lines(30_000)[29_998], "status": "Gone"}, {**lines(1)[0], "group": 14_999}))
+    await until(lambda: relay.catalog.version == 51 and not relay.inbox)
+    assert set(relay.pacer.hosts) == {"e-0", "e-29999"} == set(relay.hosts.addresses)
+
+
+async def restarted(field: Field) -> tuple[Relay, str, Client]:
+    """A second life in the same folder, and how it asks for the list."""
+    client = await field.start()
+    call = await field.platform.next_call()
+    return field.relays[-1], call.line.split()[1], client
+
+
+async def test_restart_asks_only_for_what_changed_since_the_kept_list(field: Field) -> None:
+    field.limits["disk_mb"] = 20
+    field.extra["list"] = {"keep": True}
+    await field.start()
+    relay = field.relays[0]
+    watch = await field.platform.next_watch()
+    watch.line(big_list(field, 50, 3000))
+    await until(lambda: relay.kept is not None and relay.kept.file is not None)
+    watch.line(listing(51, lines(1, group=9000, address=field.host.address)[0]))
+    await until(lambda: relay.catalog.version == 51)
+    relay.server.stop()
+    relay.close()
+    field.relays.clear()
+    again, target, client = await restarted(field)
+    assert target.endswith("since=51")
+    assert len(again.catalog) == 3001 and again.catalog.destination("e-0") == 9000
+    await client.enqueue("m1", dest=9000)
+    (await field.host.next_call()).answer(200)
+
+
+async def test_restart_with_a_damaged_list_starts_from_the_configuration(
+        field: Field, caplog: pytest.LogCaptureFixture) -> None:
+    field.extra["list"] = {"keep": True}
+    (field.state / "list").write_bytes(b"not a list at all")
+    again, target, _ = await restarted(field)
+    assert target.endswith("since=41") and set(again.catalog) == {"s-1"}
+
+
+async def test_without_being_named_no_list_is_kept(field: Field) -> None:
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(42, endpoint(field.host), snapshot=True))
+    await until(lambda: field.relays[0].catalog.version == 42)
+    assert not [path.name for path in field.state.iterdir() if path.name.startswith("list")]
+
+
+def test_part_of_the_disk_for_the_list_is_checked(field: Field) -> None:
+    def configured(**kept: Any) -> Config:
+        field.extra["list"] = kept
+        return field.config()
+    field.limits["disk_mb"] = 8
+    assert (configured().list_bytes, configured().disk_bytes) == (0, 8_000_000)
+    assert (configured(keep=True).list_bytes, configured(keep=True).disk_bytes) == (4_000_000, 4_000_000)
+    assert configured(keep=True, disk_mb=3).disk_bytes == 5_000_000
+    for wrong in ({"keep": True, "disk_mb": 8}, {"keep": True, "disk_mb": 0}, {"keep": True, "disk_mb": "x"}):
+        field.extra["list"] = wrong
+        with pytest.raises(ConfigError, match="list|convert"):
+            load(field.environment())
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -44,7 +44,7 @@
     again = await field.platform.next_watch()
     assert again.call.line.split()[1].endswith("since=0")
     again.line(listing(43, endpoint(field.host), endpoint(field.host, "s-2"), snapshot=True))
-    await until(lambda: set(field.relays[0].pacer.hosts) == {"s-1", "s-2"})
+    await until(lambda: set(field.relays[0].catalog) == {"s-1", "s-2"})
     again.call.break_off()
     assert (await field.platform.next_watch()).call.line.split()[1].endswith("since=43")
 
