Keep a turn whole where a client resets as our side of its connection ends

Cause: `transport.write_eof()` in `Connection._linger` and `hang_up` (garnetrelay/clients.py) calls shutdown(), which raises OSError 107 (not connected) once the client's reset has come, and asyncio passes that on. A client that sends a request with garbage behind it and goes is enough: the answer just written meets a closed socket, and the reset is there before the next line. It was raised inside `Relay._turn` (`_admit` writes the answers): the turn's other newcomers got no answer, its sends did not go out while the Pacer counts them as calls out for good, its ends were not told, and the alarm was not set. The same in `Server.end`: nobody's last word was waited for, exit status 1. Probe before the fix: one client garbles and goes, another hands in m2 in the same turn: "Exception in callback Relay._turn() OSError(107)", no answer for m2 in 2 s, two calls out in the Pacer with nothing on the wire. Change: both go through `_end_sending`, which drops a connection that its client has reset. `can_write_eof` is gone: a TCP transport always can. Tests: three in tests/test_crossings.py; all three fail without the fix.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -128,6 +128,13 @@
     return int(text)
 
 
+def _end_sending(transport: asyncio.Transport) -> None:
+    try:
+        transport.write_eof()
+    except OSError:  # its client has reset it: what we have just written may have met a closed socket
+        transport.abort()
+
+
 class Connection(BufferedReader):
     """One client's connection."""
 
@@ -279,8 +286,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        if transport.can_write_eof():
-            transport.write_eof()
+        _end_sending(transport)
         asyncio.get_running_loop().call_later(LINGER, transport.abort)
 
     def close_between_requests(self) -> bool:
@@ -303,11 +309,11 @@
         transport, loop = self.transport, asyncio.get_running_loop()
         if transport is None or transport.is_closing():
             return
-        if loop.time() - self.answered_at > LAST_WORD or not transport.can_write_eof():
+        if loop.time() - self.answered_at > LAST_WORD:
             transport.close()
             return
         transport.pause_reading()
-        transport.write_eof()
+        _end_sending(transport)
         loop.call_later(LAST_WORD, transport.abort)
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
 from tests.processes import ROOT, free_port
-from tests.sockets import PATIENCE, Field, until
+from tests.sockets import PATIENCE, Field, packed, until
 
 # ---- connections to hosts
 
@@ -176,6 +176,83 @@
     assert await client.read() is None
 
 
+async def raw_client(field: Field) -> socket.socket:
+    """A connection that the relay knows, as a plain socket: what is done on it is done at once."""
+    server = field.relays[0].server
+    assert server.address is not None
+    known = len(server.connections)
+    raw = socket.create_connection(server.address)
+    await until(lambda: len(server.connections) == known + 1)
+    return raw
+
+
+def reset(raw: socket.socket) -> None:
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    raw.close()
+
+
+async def test_client_that_garbles_and_goes_leaves_the_turn_whole(field: Field) -> None:
+    """Our answer meets a closed socket, so that its side's end can't be ended any more: that must cost no
+    other client its answer, and no message its call."""
+    other = await field.start()
+    raw = await raw_client(field)
+    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x") + b"garbage")
+    raw.close()
+    assert await other.enqueue("m2") == b"OK"
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "m2"
+    call.answer(200)
+    relay = field.relays[0]
+    await until(lambda: not relay.held and not relay.pacer.calls and not relay.pacer.messages)
+    await until(lambda: len(relay.server.connections) == 1)
+
+
+async def test_client_that_resets_as_a_draining_relay_closes_leaves_the_turn_whole(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Behind the last look at the socket, before our side ends."""
+    other = await field.start()
+    raw = await raw_client(field)
+    relay = field.relays[0]
+    *_, watched = relay.server.connections
+    assert watched.transport is not None
+    number, look = watched.transport.get_extra_info("socket").fileno(), select.poll
+
+    class Look:
+        def register(self, descriptor: int, *args: Any) -> None:
+            self.descriptor = descriptor
+            self.real = look()
+            self.real.register(descriptor, *args)
+
+        def poll(self, timeout: int) -> list[Any]:
+            if self.descriptor == number and raw.fileno() >= 0:
+                reset(raw)
+                return []
+            return self.real.poll(timeout)
+
+    relay.server.draining = True
+    monkeypatch.setattr(select, "poll", Look)
+    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
+    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
+    assert await other.read() == b"OK"
+    for _ in range(2):
+        (await field.host.next_call()).answer(200)
+    await until(lambda: not relay.held and not relay.pacer.calls)
+    assert raw.fileno() < 0
+
+
+async def test_client_that_resets_as_the_process_ends_costs_no_other_its_answer(field: Field) -> None:
+    other = await field.start()
+    raw = await raw_client(field)
+    server = field.relays[0].server
+    raw.sendall(packed("PING"))
+    *_, gone = server.connections
+    await until(lambda: gone.answered_at > 0)
+    assert await other.ask("PING") == b"PONG"
+    reset(raw)
+    await server.end()
+    assert await other.read() is None
+
+
 async def test_request_that_is_overdue_just_as_a_part_of_it_comes_is_closed_at_once(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "REQUEST_TIME", 1000.0)
