Accept a few connections at a time, so that a burst leaves descriptors

What was seen: a probe, a relay process with 256 descriptors and 400 silent clients that connect while it has no processor: asyncio's server accepts up to the backlog (512) in one go, before any connection counts at the bound of a third. At the last descriptor it logs "socket.accept() out of system resource" with a traceback for each of the accepts left (1,150 of them, 509 KB of log), and accepts nothing for a second: a client that came then heard BUSY after 1.14 s, where it waits for 0.4 s. Cause: garnetrelay/clients.py, `Server.start`: `create_server(..., backlog=BACKLOG)` uses one figure for the kernel's queue and for the accepts at a time; CPython 3.11 `_accept_connection` goes on in its loop behind EMFILE. Change: the relay accepts by itself, eight at a time between two turns of the loop, and looks again after 0.1 s where no descriptor is left; the kernel's queue stays at 512. Test: tests/test_standing.py, test_burst_of_idle_clients_leaves_descriptors_for_what_is_served; fails without the change.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -27,6 +27,8 @@
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
 BACKLOG = 512
+ACCEPTED_AT_ONCE = 8  # connections until their number is looked at again: each is a descriptor meanwhile
+ACCEPT_AGAIN = 0.1  # seconds without accepting where no descriptor is left
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -330,19 +332,60 @@
         self.draining = False  # connections are closed as soon as each is between requests
         self.sending_away = False  # and checks hear that clients should go elsewhere
         self.address: tuple[str, int] | None = None  # since it has begun to listen
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._retry: asyncio.TimerHandle | None = None
+        self._coming: set[asyncio.Task[None]] = set()  # accepted, and not among the connections yet
 
     async def start(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
         """Listen, at an inherited socket where there is one; the address that came of it."""
-        loop = asyncio.get_running_loop()
         if inherited is not None:
-            self._server = await loop.create_server(lambda: Connection(self), sock=inherited, backlog=BACKLOG)
+            self._listener = inherited
+            inherited.listen(BACKLOG)
         else:
-            self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=BACKLOG)
-        name = self._server.sockets[0].getsockname()
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            self._listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self._listener.setblocking(False)
+        self._accept_on()
+        name = self._listener.getsockname()
         self.address = str(name[0]), int(name[1])
         return self.address
 
+    def _accept_on(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().add_reader(self._listener, self._accept, ACCEPTED_AT_ONCE)
+
+    def _accept(self, most: int) -> None:
+        """Take up some of those that have connected; the loop calls again where more wait. All at once, as
+        asyncio's own server takes them, a burst leaves no descriptor for anything else."""
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        for _ in range(most):
+            try:
+                accepted, _address = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:  # the listener stays readable: looking again at once is a busy loop
+                log.warning("no connection can be accepted: %s", error.strerror)
+                loop.remove_reader(self._listener)
+                self._retry = loop.call_later(ACCEPT_AGAIN, self._accept_on)
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(self._take_up(accepted))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _take_up(self, accepted: socket.socket) -> None:
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
+
+    def _stop_listening(self) -> None:
+        if self._listener is None:
+            return
+        if self._retry is not None:
+            self._retry.cancel()
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._listener.close()
+        self._listener = None
+
     def touch(self, connection: Connection) -> None:
         """A request has come on a connection: it is the last that would go."""
         connection.quiet_from = asyncio.get_running_loop().time()
@@ -374,17 +417,17 @@
     def stop(self) -> None:
         """The planned end: no new connection, and the open ones close as soon as each is between requests."""
         self.stopped = True
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         self._close_open()
 
     @property
     def quiet(self) -> bool:
         """Whether nobody is owed an answer or about to ask: the process may end."""
         lately = asyncio.get_running_loop().time() - FIRST_REQUEST
-        return not any(not connection.lost and not connection.closing
-                       and (connection.replies or connection.unread or connection.quiet_from > lately)
-                       for connection in self.connections)
+        return not any(
+            not connection.lost and not connection.closing
+            and (connection.replies or connection.unread or connection.quiet_from > lately)
+            for connection in self.connections)
 
     def close_silent(self) -> None:
         """Where the process ends beside another one, the descriptors of both count: whoever has connected
