Serve those who have connected when the relay stops listening

Cause: `Server.stop` closed the listening socket, and the kernel resets whoever waits there to be accepted, request written or not: a connection that ends with no answer once the request's last byte has been written. It takes a turn that lasts from before the last connections until 0.6 s after SIGTERM; the connections accepted in that turn were not known yet either, so the process could have ended before it looked at them. Change: what waits is accepted first (not at the platform's socket: there it waits for another process), and a process with accepted connections that it has not looked at is not quiet. Test in tests/test_crossings.py; without the change ConnectionResetError.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -333,13 +333,14 @@
         self.sending_away = False  # and checks hear that clients should go elsewhere
         self.address: tuple[str, int] | None = None  # since it has begun to listen
         self._listener: socket.socket | None = None
+        self._shared: bool = False  # it is the platform's: what we leave there is another process's
         self._retry: asyncio.TimerHandle | None = None
         self._coming: set[asyncio.Task[None]] = set()  # accepted, and not among the connections yet
 
     async def start(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
         """Listen, at an inherited socket where there is one; the address that came of it."""
         if inherited is not None:
-            self._listener = inherited
+            self._listener, self._shared = inherited, True
             inherited.listen(BACKLOG)
         else:
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -378,10 +379,16 @@
         await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
 
     def _stop_listening(self) -> None:
+        """Who has connected already is served: a close would reset what they have sent. At the platform's
+        socket they wait for another process."""
         if self._listener is None:
             return
         if self._retry is not None:
             self._retry.cancel()
+        if not self._shared:
+            self._accept(BACKLOG)
+        if self._retry is not None:
+            self._retry.cancel()
         asyncio.get_running_loop().remove_reader(self._listener)
         self._listener.close()
         self._listener = None
@@ -424,7 +431,7 @@
     def quiet(self) -> bool:
         """Whether nobody is owed an answer or about to ask: the process may end."""
         lately = asyncio.get_running_loop().time() - FIRST_REQUEST
-        return not any(
+        return not self._coming and not any(
             not connection.lost and not connection.closing
             and (connection.replies or connection.unread or connection.quiet_from > lately)
             for connection in self.connections)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
 from tests.processes import ROOT, free_port
-from tests.sockets import PATIENCE, Field, packed, until
+from tests.sockets import PATIENCE, Client, Field, packed, until
 
 # ---- connections to hosts
 
@@ -253,6 +253,24 @@
     assert await other.read() is None
 
 
+async def test_client_that_has_connected_as_the_relay_stops_listening_is_served(field: Field) -> None:
+    """It waits to be accepted, its request written: a close of the listening socket would reset it."""
+    await field.start()
+    server = field.relays[0].server
+    assert server.address is not None
+    waiting = [await asyncio.to_thread(socket.create_connection, server.address) for _ in range(3)]
+    late = socket.create_connection(server.address)  # no turn of the loop from here to the end of listening
+    late.sendall(packed("PING", "late"))
+    server.stop()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(server.address)
+    assert not server.quiet  # the process must not end before it has looked at them
+    client = Client(*await asyncio.open_connection(sock=late))
+    assert await client.read() == b"late" and await client.read() is None
+    for one in waiting:
+        one.close()
+
+
 async def test_request_that_is_overdue_just_as_a_part_of_it_comes_is_closed_at_once(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "REQUEST_TIME", 1000.0)
