Take up what a process that is not gone yet holds, also without an inherited socket

Without it, what the process before us left was told or sent by the next start at the earliest: lost for most. It takes a predecessor that has closed its listening socket and is not gone: from 0.6 s after SIGTERM to its end, or a kill that the kernel has not finished. Tests: test_what_a_process_that_is_not_gone_yet_still_holds_is_taken_up_later (tests/test_restart.py) and test_disk_is_shared_with_a_process_that_is_not_gone_yet (tests/test_ownership.py, 1,013,305 bytes of 1,000,000 before).

--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -25,6 +25,7 @@
 
     def __init__(self, folder: Path, disk_bytes: int, shared: bool) -> None:
         self.folder = folder
+        self.shared = shared
         # Another process may come at any time, and the limit is for both together.
         self.most = (disk_bytes - disk_bytes // LEARNED_SHARE) // 2 if shared else disk_bytes
         self.journals: dict[str, Journal] = {}
@@ -79,8 +80,11 @@
     # ---- what happens to a message
 
     def has_room(self, weight: int) -> bool:
-        """Left journals are ours to count too, until what is in them has ended."""
+        """Left journals are ours to count too, until what is in them has ended. So is that of a process which
+        is not gone yet, where none was meant to be beside us: it reckoned with the whole disk."""
         left = sum(journal.size for journal in self.journals.values() if journal is not self.own)
+        if not self.shared:
+            left += sum(_size(path) for path in self.foreign)
         return self.own.has_room(weight + left // 2)
 
     def taken(self, entry: Entry) -> bool:
@@ -147,3 +151,10 @@
         return path.read_bytes()
     except FileNotFoundError:
         return b""
+
+
+def _size(path: Path) -> int:
+    try:
+        return path.stat().st_size
+    except FileNotFoundError:
+        return 0
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -117,7 +117,7 @@
         inherited = None if descriptor is None else socket.socket(fileno=descriptor)
         if self.handover is None or self.handover.take():
             await self._serve(inherited)
-        if self.handover is not None:
+        if self.handover is not None or self.journal.foreign:
             self.overseer = asyncio.get_running_loop().create_task(self._oversee(inherited))
         self.health.ready = not self.stopping  # SIGTERM may have come meanwhile
         if self.server.address is None:
@@ -267,17 +267,17 @@
     # ---- upgrades
 
     async def _oversee(self, inherited: socket.socket | None) -> None:
-        """Take over when the process before us lets go, then what it still leaves until it is gone."""
-        assert self.handover is not None
-        while not self.server.address and not self.stopping:
+        """Take over when the process before us lets go, then what it still leaves until it is gone. Where no
+        socket is inherited nobody else comes, and it had to be gone, but for its last moments."""
+        while self.handover is not None and not self.server.address and not self.stopping:
             await asyncio.sleep(LOOK_EVERY)
             if not self.stopping and self.handover.take():
                 self.journal.take_up()
                 await self._serve(inherited)
-        while not self.stopping:
+        while not self.stopping and (self.handover is not None or self.journal.foreign):
             self._recover(self.journal.take_up())
             self._hear()
-            if not self.journal.foreign:
+            if self.handover is not None and not self.journal.foreign:
                 self.handover.forget()
             await asyncio.sleep(LOOK_EVERY if self.journal.foreign else LOOK_SELDOM)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -115,3 +115,21 @@
         second.ended(ref, None)
         most = max(most, sum(path.stat().st_size for path in tmp_path.iterdir()))
     assert most < DISK
+
+
+def test_disk_is_shared_with_a_process_that_is_not_gone_yet(tmp_path: Path) -> None:
+    """Each was told that the folder is its own: the first may have filled it."""
+    before = Ownership(tmp_path, DISK, shared=False)
+    n = 0
+    while before.own.live < 0.3 * DISK:
+        assert before.taken(entry(f"m{n}", 2000))
+        n += 1
+    while before.own.size < 0.65 * DISK:
+        assert before.trying("m0", "north", 1)
+    after = Ownership(tmp_path, DISK, shared=False)
+    while after.has_room(2000):
+        assert after.taken(entry(f"m{n}", 2000))
+        n += 1
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) < DISK
+    before.close()
+    assert after.take_up() and not after.has_room(2000)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -93,6 +93,28 @@
     assert waits[1] - waits[0] >= 0.59 and set(tally.calls) == refs
 
 
+async def test_what_a_process_that_is_not_gone_yet_still_holds_is_taken_up_later(field: Field) -> None:
+    """No socket is inherited, so nobody stands beside us for long: it is about to end, or to be killed."""
+    before = Journal(field.state, 3_000_000)
+    deadline = time.time_ns() // MS + 8000
+    for ref, klass in (("safe", "safe"), ("tried", "unsafe")):
+        assert before.taken(Entry(ref, klass, 3, None, deadline, b"x"))
+    assert before.trying("tried", "north", time.time_ns() // MS)
+    client = await field.start()
+    assert await client.enqueue("new") == b"OK"
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "new" and field.host.calls.empty()
+    call.answer(200)
+    before.close()
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "safe"
+    call.answer(200)
+    assert await field.platform.next_notice() == {"ref": "tried", "result": "dead"}
+    relay = field.relays[0]
+    await until(lambda: not relay.held and not relay.journal.entries and not relay.journal.foreign)
+    await until(lambda: relay.overseer is not None and relay.overseer.done())
+
+
 def trouble(relay: Relay) -> None:
     """Two bad calls: an outage, one trial at a time."""
     relay.turn(relay.message(SAFE), relay.message(SAFE))
