Answer a pipelined request that has been read before a draining relay closes

Cause: garnetrelay/clients.py, `Connection.data_received` looks at what it has read (64 KiB at most) in parts of 16 KiB. Where a part ends just between two commands, all before it is answered and the relay is draining, `send_ready` closes the connection: neither `unread` nor a look at the socket shows the other parts, which are then thrown away. A request whose last byte had come got no answer. Probe before the fix: 16,384 bytes of PING and an ENQUEUE behind them in one read: the ENQUEUE has no answer. Change: what has been read and not looked at keeps a connection from being taken for one between requests. Test in tests/test_crossings.py; fails without the change.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -145,6 +145,7 @@
         self.buffer = server.buffer
         self.reader = hiredis.Reader(protocolError=Rejected, replyError=Rejected)
         self.unread = bytearray()  # of a command that has not come whole
+        self.more: bool = False  # of what has been read, a part has not been looked at
         self.replies: deque[Reply] = deque()
         self.lost: bool = False
         self.closing: bool = False
@@ -202,6 +203,7 @@
         for start in range(0, len(data), SLICE):
             if self.closing:
                 return  # shut out: what it still sends is read and thrown away
+            self.more = start + SLICE < len(data)
             self._take(data[start:start + SLICE])
         if self.server.draining and not self.closing:
             self.close_between_requests()
@@ -295,7 +297,9 @@
         """Close, and say so, unless an answer is owed or a request has come, in part or unread: closing
         then would lose a message. What is unread is answered first, and the close comes right behind it."""
         transport = self.transport
-        if self.closing or self.replies or self.unread or transport is None or transport.is_closing():
+        if self.closing or self.replies or self.unread or self.more:
+            return False
+        if transport is None or transport.is_closing():
             return False
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -271,6 +271,29 @@
         one.close()
 
 
+async def test_pipelined_request_behind_those_that_a_draining_relay_has_answered_is_answered_too(
+        field: Field) -> None:
+    """All are read at once, and looked at in parts: no answer is owed between two parts that meet between
+    two commands."""
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG"
+    server = field.relays[0].server
+    (connection,) = server.connections
+    assert connection.transport is not None
+    pings = packed("PING", "x" * 1000) * 15
+    ends = (packed("PING", "y" * n) for n in range(2000))
+    pings += next(end for end in ends if len(pings + end) == clients.SLICE)
+    connection.transport.pause_reading()
+    client.writer.write(pings + packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
+    await client.writer.drain()
+    server.draining = True
+    connection.transport.resume_reading()
+    answers = []
+    while (answer := await client.read()) is not None:
+        answers.append(answer)
+    assert len(answers) == 17 and answers[-1] == b"OK"
+
+
 async def test_request_that_is_overdue_just_as_a_part_of_it_comes_is_closed_at_once(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "REQUEST_TIME", 1000.0)
