Send no call to an address that its endpoint has left as the connection came up

Cause: garnetrelay/hosts.py, `Hosts._connect` goes on with the address that it began with. A list entry that names another address meanwhile closes idle connections only; the call then went to whoever listens at the old one, by then perhaps an endpoint of another destination. Change: such a connection is dropped and the attempt, of which nothing has gone out, is abandoned; the next one goes to the new address. Tests in tests/test_watch.py: the move as a connection comes up (fails without the change), the move under a call, and two endpoints with one address (both were kept, with no test).

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -377,6 +377,9 @@
             return
         if exchange.ended:
             self.rest(connection)
+        elif self.addresses.get(exchange.host) != address:  # it has moved: here may be another
+            connection.abort()
+            exchange.end(Outcome(io.Status.ABANDONED))
         else:
             self._go(connection, exchange)
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from garnetrelay import discovery, relay
+from garnetrelay import discovery, hosts, relay
 from tests.sockets import Call, Field, HttpServer, Platform, endpoint, listing, until
+from tests.test_crossings import on_next_connection
 
 
 async def test_list_may_come_indented_and_in_pieces(field: Field) -> None:
@@ -132,6 +133,75 @@
     await other.stop()
 
 
+async def test_call_whose_endpoint_moves_as_its_connection_comes_up_goes_to_the_new_address(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Who listens at the old one may be of another destination by then."""
+    client = await field.start()
+    one = field.relays[0]
+    watch = await field.platform.next_watch()
+    other = HttpServer()
+    await other.start()
+
+    async def moves(connection: hosts.Connection) -> None:
+        watch.line(listing(42, {**endpoint(field.host), "address": other.address},
+                           {**endpoint(field.host, "s-2"), "group": 4}))
+        await until(lambda: one.discovery.index == 42)
+
+    on_next_connection(monkeypatch, moves)
+    await client.enqueue("m1", "unsafe")
+    call = await other.next_call()
+    assert call.headers["x-request-id"] == "m1" and one.journal.entries["m1"].attempts == 1
+    call.answer(200)
+    await until(lambda: not one.held)
+    assert field.host.calls.empty() and field.platform.notices.empty()
+    await other.stop()
+
+
+async def test_endpoint_that_moves_under_a_call_is_answered_there_and_called_at_the_new_address_next(
+        field: Field) -> None:
+    client = await field.start()
+    await field.warm(client)
+    one = field.relays[0]
+    watch = await field.platform.next_watch()
+    other = HttpServer()
+    await other.start()
+    await client.enqueue("m1", "unsafe")
+    call = await field.host.next_call()
+    watch.line(listing(42, {**endpoint(field.host), "address": other.address}))
+    await until(lambda: one.discovery.index == 42)
+    call.answer(200)
+    await until(lambda: not one.held and not one.hosts.open)
+    await client.enqueue("m2", "unsafe")
+    call = await other.next_call()
+    assert call.headers["x-request-id"] == "m2"
+    call.answer(200)
+    await until(lambda: not one.held)
+    assert field.host.calls.empty()
+    await other.stop()
+
+
+async def test_endpoints_with_one_address_are_each_drained_alone(field: Field) -> None:
+    """Two names for one listener: what is said of one holds for its own connections only."""
+    field.endpoints.append(endpoint(field.host, "s-2"))
+    client = await field.start()
+    one = field.relays[0]
+    watch = await field.platform.next_watch()
+    for n in range(6):
+        assert await client.enqueue(f"m{n}") == b"OK"
+        (await field.host.next_call()).answer(200)
+        await until(lambda: not one.held)
+    assert set(one.hosts.idle) == {"s-1", "s-2"}
+    watch.line(listing(42, endpoint(field.host, status="Terminating")))
+    await until(lambda: one.discovery.index == 42)
+    assert set(one.hosts.idle) == {"s-2"}
+    for n in range(3):
+        await client.enqueue(f"n{n}")
+        call = await field.host.next_call()
+        call.answer(200)
+        await until(lambda: not one.held)
+    assert {connection.host for connection in one.hosts.open} == {"s-2"}
+
+
 async def test_idle_connections_go_with_the_process_they_led_to(field: Field) -> None:
     """An endpoint that was started anew kept none of them, and may not have said so."""
     client = await field.start()
