Start with a message on record whose partner the list does not name yet

What was seen: a probe: a message that a restart finds untried, for a destination that the list in the configuration does not name (old, or unreadable), ends the start: KeyError in `Pacer.place`, raised through `Relay._serve`. The next start ends the same way, as the message stays on record. Cause: starlingwick/control.py, `plan`: what is owed a call is put among those that could go whenever its destination does not open, also where there is no route at all; `place` then looks one up. Came with "owed" calls. Checked: all other look-ups by a message's destination without a default lie behind an open gate, that is a known host. Change: only where a route is known. The message waits for its partner's entry, or its end, as others do. Tests: test_relay_starts_with_a_message_whose_partner_it_does_not_know_yet, two cases; both KeyError before.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -814,7 +814,8 @@
                 self.wake_at = min(self.wake_at, opens)
                 hopeless += [(m, opens) for m in waiting.values()
                              if opens >= m.deadline and self.may_refuse(m) and not m.owed]
-            if opens > self.now and self.owed:  # what is owed a call waits for its pace, not for a call's end
+            if opens > self.now and self.owed and number in self.routes:
+                # What is owed a call waits for its pace, not for a call's end.
                 ready += [m for m in waiting.values() if m.owed]
         for m, opens in hopeless:  # handed back at once: the client may come to a relay that may try sooner
             self.end(m, opens)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -11,7 +11,7 @@
 from garnetrelay.journal import Entry, Journal
 from starlingwick import interface as io
 from tests.helpers import MS, SAFE, UNSAFE, Relay, S, entry
-from tests.sockets import Call, Field, until
+from tests.sockets import Call, Field, endpoint, listing, until
 from tests.test_rules import recovered
 
 CLASSES = ["safe", "keyed", "unsafe"]
@@ -115,6 +115,24 @@
     await until(lambda: relay.overseer is not None and relay.overseer.done())
 
 
+@pytest.mark.parametrize("known", [True, False], ids=["not in the list", "no list"])
+async def test_relay_starts_with_a_message_whose_partner_it_does_not_know_yet(
+        field: Field, known: bool) -> None:
+    """The list in the configuration may be old, or unreadable: the message waits for the partner's entry."""
+    left_behind(field, "unsafe", 1, 8000)
+    listed = endpoint(field.host)
+    field.endpoints = [{**listed, "name": "s-9", "group": 9, **({} if known else {"status": "Unheard of"})}]
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG"
+    watch = await field.platform.next_watch()
+    assert list(field.relays[0].held) == ["old0"] and field.host.calls.empty()
+    watch.line(listing(42, listed))
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "old0"
+    call.answer(200)
+    await until(lambda: not field.relays[0].held)
+
+
 def trouble(relay: Relay) -> None:
     """Two bad calls: an outage, one trial at a time."""
     relay.turn(relay.message(SAFE), relay.message(SAFE))
