--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -380,6 +380,8 @@
             task.add_done_callback(self._coming.discard)
 
     async def _take_up(self, accepted: socket.socket) -> None:
+        # The loop does so by itself only where the listener was made with its protocol named.
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
 
     def _stop_listening(self) -> None:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import resource
 import signal
 import socket
 
+import pytest
+
+from garnetrelay import clients, relay
 from tests.processes import Process
-from tests.sockets import PATIENCE, Client, Field
+from tests.sockets import PATIENCE, Client, Field, endpoint, listing, packed, until
 
 # ---- floods
 
@@ -40,3 +45,183 @@
     async with asyncio.timeout(PATIENCE):
         told = await log
     assert b"open files" not in told and b"Traceback" not in told
+
+
+async def test_client_that_sends_many_commands_and_goes_costs_others_nothing(field: Field) -> None:
+    """More than its socket takes in answers, none of them read; its messages are no proper requests."""
+    other = await field.start()
+    server = field.relays[0].server
+    assert server.address is not None
+    noise = b"".join(packed("ENQUEUE", "0", f"n{n}", "c=none,d=8000,dest=3", "x") for n in range(20_000))
+    _, writer = await asyncio.open_connection(*server.address)
+    writer.write(noise)
+    await until(lambda: writer.transport.get_write_buffer_size() < len(noise) // 2)
+    writer.transport.abort()
+    assert await other.enqueue("m1") == b"OK"
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held and len(server.connections) == 1)
+
+
+# ---- sockets
+
+
+async def test_no_small_write_is_held_back_on_any_socket(field: Field) -> None:
+    """A close over unread bytes would take back what the system still held."""
+    client = await field.start()
+    await field.platform.next_watch()
+    await client.enqueue("m1", "unsafe")
+    (await field.host.next_call()).answer(500)
+    await field.platform.next_notice()
+    await client.enqueue("m2", "unsafe")
+    await field.host.next_call()
+    server = field.relays[0].server
+    ends: list[str] = []
+    for number in os.listdir("/proc/self/fd"):  # this test's ends of the connections too
+        with contextlib.suppress(OSError), socket.socket(fileno=os.dup(int(number))) as one:
+            if one.type == socket.SOCK_STREAM and one.family == socket.AF_INET:
+                peer = "{}:{}".format(*one.getpeername())
+                assert one.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY), (one.getsockname(), peer)
+                ends.append("accepted" if one.getsockname() == server.address else peer)
+    assert ends.count(field.platform.address) == 2  # the watch and the notices
+    assert ends.count(field.host.address) >= 1 and ends.count("accepted") == 1
+
+
+async def test_client_that_ends_its_sending_behind_a_request_is_answered(field: Field) -> None:
+    client = await field.start()
+    client.write("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
+    client.writer.write_eof()
+    assert await client.read() == b"OK" and await client.read() is None
+    (await field.host.next_call()).answer(200)
+
+
+async def test_answer_that_takes_a_message_on_follows_its_record(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A kill may come right behind it."""
+    seen: list[bytes] = []
+    ok = clients.Reply.ok
+
+    def looks_first(reply: clients.Reply) -> None:
+        seen.append((field.state / "journal").read_bytes())
+        ok(reply)
+
+    monkeypatch.setattr(clients.Reply, "ok", looks_first)
+    client = await field.start()
+    assert await client.enqueue("m1") == b"OK"
+    assert len(seen) == 1 and b'"t":"taken","ref":"m1"' in seen[0]
+
+
+def test_process_is_gone_before_it_may_be_killed() -> None:
+    """SIGKILL comes no sooner than 3.7 s after SIGTERM, new connections for up to 0.4 s."""
+    assert 0.4 < relay.LISTEN_ON and relay.STOP_AFTER / relay.SECOND + clients.LAST_WORD <= 3.4
+
+
+# ---- late connections and repeat windows
+
+
+async def test_connection_that_does_not_come_up_is_given_up_in_time_and_never_ran(field: Field) -> None:
+    """Its machine drops what it is sent: the queue of who may connect is full."""
+    field.facts["limits"].update(connectTimeout=200_000_000, probes=False)
+    full = socket.socket()
+    full.bind(("127.0.0.1", 0))
+    full.listen(0)
+    name = full.getsockname()
+    fillers = [socket.socket() for _ in range(4)]
+    for one in fillers:
+        one.setblocking(False)
+        one.connect_ex(name)
+    field.endpoints[0]["address"] = "127.0.0.1:%d" % name[1]
+    client = await field.start()
+    watch = await field.platform.next_watch()
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    one_relay = field.relays[0]
+    began = asyncio.get_running_loop().time()
+    await until(lambda: one_relay.pacer.messages["m1"].attempts == 1)
+    await until(lambda: one_relay.outcomes["connect_failed"] == 1)
+    assert asyncio.get_running_loop().time() - began >= 0.19
+    assert one_relay.journal.entries["m1"].attempts == 0 and not one_relay.hosts.open
+    watch.line(listing(42, endpoint(field.host, "s-2"), snapshot=True))
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "m1"
+    call.answer(200)
+    for one in (*fillers, full):
+        one.close()
+
+
+async def test_reset_behind_the_window_of_a_repeat_brings_no_second_call(field: Field) -> None:
+    """The window runs from the call, however long after it the connection breaks."""
+    field.facts["classes"][1]["repeatWindow"] = 300_000_000
+    client = await field.start()
+    await client.enqueue("m1", "keyed")
+    call = await field.host.next_call()
+    await asyncio.sleep(0.35)
+    call.break_off()
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert field.host.calls.empty()
+
+
+# ---- answers without end
+
+
+@pytest.mark.parametrize(("head", "more"), [
+    (b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + bytes(0x1000) + b"\r\n"),
+    (b"HTTP/1.1 500 No\r\n\r\n", bytes(4096)),
+    (b"HTTP/1.1 500 No\r\n", b"X-More: and more\r\n" * 100),
+    (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    (b"", b"HTTP/1.1 200 " + b"O" * 4096),
+], ids=["chunks", "body", "headers", "1xx", "first line"])
+async def test_answer_without_end_ends_with_its_connection_and_may_have_run(
+        field: Field, head: bytes, more: bytes) -> None:
+    client = await field.start()
+    await client.enqueue("m1", "unsafe")
+    call = await field.host.next_call()
+    call.raw(head)
+    while field.host.closed.empty():
+        call.raw(more)
+        await asyncio.sleep(0.001)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert not field.relays[0].hosts.open and field.host.calls.empty()
+
+
+async def test_delivered_answer_without_end_gives_its_connection_back(field: Field) -> None:
+    client = await field.start()
+    await client.enqueue("m1", "unsafe")
+    call = await field.host.next_call()
+    call.raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    await until(lambda: not field.relays[0].held)
+    while field.host.closed.empty():
+        call.raw(b"1\r\nx\r\n")
+        await asyncio.sleep(0.01)
+    assert not field.relays[0].hosts.open and field.platform.notices.empty()
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+async def test_answer_in_single_bytes_behind_1xx_is_read_whole(field: Field, status: int) -> None:
+    client = await field.start()
+    await field.warm(client)
+    await client.enqueue("m1", "safe")
+    call = await field.host.next_call()
+    answer = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    for byte in answer + b"HTTP/1.1 %d Whatever\r\nContent-Length: 2\r\n\r\nok" % status:
+        call.raw(bytes([byte]))
+        await asyncio.sleep(0)
+    if status != 200:
+        again = await field.host.next_call()
+        assert again.connection == call.connection and again.headers["x-request-id"] == "m1"
+        again.answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert field.platform.notices.empty()
+
+
+# ---- readiness
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+async def test_relay_is_ready_and_delivers_while_discovery_is_down(field: Field, mode: str) -> None:
+    field.facts["discovery"] = mode
+    await field.platform.stop()
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG"
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+
