--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -27,6 +27,8 @@
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
 BACKLOG = 512
+ACCEPTED_AT_ONCE = 8  # connections until their number is looked at again: each is a descriptor meanwhile
+ACCEPT_AGAIN = 0.1  # seconds without accepting where no descriptor is left
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -128,6 +130,13 @@
     return int(text)
 
 
+def _end_sending(transport: asyncio.Transport) -> None:
+    try:
+        transport.write_eof()
+    except OSError:  # its client has reset it: what we have just written may have met a closed socket
+        transport.abort()
+
+
 class Connection(BufferedReader):
     """One client's connection."""
 
@@ -136,6 +145,7 @@
         self.buffer = server.buffer
         self.reader = hiredis.Reader(protocolError=Rejected, replyError=Rejected)
         self.unread = bytearray()  # of a command that has not come whole
+        self.more: bool = False  # of what has been read, a part has not been looked at
         self.replies: deque[Reply] = deque()
         self.lost: bool = False
         self.closing: bool = False
@@ -193,6 +203,7 @@
         for start in range(0, len(data), SLICE):
             if self.closing:
                 return  # shut out: what it still sends is read and thrown away
+            self.more = start + SLICE < len(data)
             self._take(data[start:start + SLICE])
         if self.server.draining and not self.closing:
             self.close_between_requests()
@@ -279,15 +290,16 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        if transport.can_write_eof():
-            transport.write_eof()
+        _end_sending(transport)
         asyncio.get_running_loop().call_later(LINGER, transport.abort)
 
     def close_between_requests(self) -> bool:
         """Close, and say so, unless an answer is owed or a request has come, in part or unread: closing
         then would lose a message. What is unread is answered first, and the close comes right behind it."""
         transport = self.transport
-        if self.closing or self.replies or self.unread or transport is None or transport.is_closing():
+        if self.closing or self.replies or self.unread or self.more:
+            return False
+        if transport is None or transport.is_closing():
             return False
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -303,11 +315,11 @@
         transport, loop = self.transport, asyncio.get_running_loop()
         if transport is None or transport.is_closing():
             return
-        if loop.time() - self.answered_at > LAST_WORD or not transport.can_write_eof():
+        if loop.time() - self.answered_at > LAST_WORD:
             transport.close()
             return
         transport.pause_reading()
-        transport.write_eof()
+        _end_sending(transport)
         loop.call_later(LAST_WORD, transport.abort)
 
 
@@ -324,19 +336,69 @@
         self.draining = False  # connections are closed as soon as each is between requests
         self.sending_away = False  # and checks hear that clients should go elsewhere
         self.address: tuple[str, int] | None = None  # since it has begun to listen
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._shared: bool = False  # it is the platform's: what we leave there is another process's
+        self._retry: asyncio.TimerHandle | None = None
+        self._coming: set[asyncio.Task[None]] = set()  # accepted, and not among the connections yet
 
     async def start(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
         """Listen, at an inherited socket where there is one; the address that came of it."""
-        loop = asyncio.get_running_loop()
         if inherited is not None:
-            self._server = await loop.create_server(lambda: Connection(self), sock=inherited, backlog=BACKLOG)
+            self._listener, self._shared = inherited, True
+            inherited.listen(BACKLOG)
         else:
-            self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=BACKLOG)
-        name = self._server.sockets[0].getsockname()
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            self._listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self._listener.setblocking(False)
+        self._accept_on()
+        name = self._listener.getsockname()
         self.address = str(name[0]), int(name[1])
         return self.address
 
+    def _accept_on(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().add_reader(self._listener, self._accept, ACCEPTED_AT_ONCE)
+
+    def _accept(self, most: int) -> None:
+        """Take up some of those that have connected; the loop calls again where more wait. All at once, as
+        asyncio's own server takes them, a burst leaves no descriptor for anything else."""
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        for _ in range(most):
+            try:
+                accepted, _address = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:  # the listener stays readable: looking again at once is a busy loop
+                log.warning("no connection can be accepted: %s", error.strerror)
+                loop.remove_reader(self._listener)
+                self._retry = loop.call_later(ACCEPT_AGAIN, self._accept_on)
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(self._take_up(accepted))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _take_up(self, accepted: socket.socket) -> None:
+        # The loop does so by itself only where the listener was made with its protocol named.
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
+
+    def _stop_listening(self) -> None:
+        """Who has connected already is served: a close would reset what they have sent. At the platform's
+        socket they wait for another process."""
+        if self._listener is None:
+            return
+        if self._retry is not None:
+            self._retry.cancel()
+        if not self._shared:
+            self._accept(BACKLOG)
+        if self._retry is not None:
+            self._retry.cancel()
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._listener.close()
+        self._listener = None
+
     def touch(self, connection: Connection) -> None:
         """A request has come on a connection: it is the last that would go."""
         connection.quiet_from = asyncio.get_running_loop().time()
@@ -368,17 +430,17 @@
     def stop(self) -> None:
         """The planned end: no new connection, and the open ones close as soon as each is between requests."""
         self.stopped = True
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         self._close_open()
 
     @property
     def quiet(self) -> bool:
         """Whether nobody is owed an answer or about to ask: the process may end."""
         lately = asyncio.get_running_loop().time() - FIRST_REQUEST
-        return not any(not connection.lost and not connection.closing
-                       and (connection.replies or connection.unread or connection.quiet_from > lately)
-                       for connection in self.connections)
+        return not self._coming and not any(
+            not connection.lost and not connection.closing
+            and (connection.replies or connection.unread or connection.quiet_from > lately)
+            for connection in self.connections)
 
     def close_silent(self) -> None:
         """Where the process ends beside another one, the descriptors of both count: whoever has connected
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -11,7 +11,7 @@
 from garnetrelay.journal import Entry, Journal
 from starlingwick import interface as io
 from tests.helpers import MS, SAFE, UNSAFE, Relay, S, entry
-from tests.sockets import Call, Field, until
+from tests.sockets import Call, Field, endpoint, listing, until
 from tests.test_rules import recovered
 
 CLASSES = ["safe", "keyed", "unsafe"]
@@ -93,6 +93,46 @@
     assert waits[1] - waits[0] >= 0.59 and set(tally.calls) == refs
 
 
+async def test_what_a_process_that_is_not_gone_yet_still_holds_is_taken_up_later(field: Field) -> None:
+    """No socket is inherited, so nobody stands beside us for long: it is about to end, or to be killed."""
+    before = Journal(field.state, 3_000_000)
+    deadline = time.time_ns() // MS + 8000
+    for ref, klass in (("safe", "safe"), ("tried", "unsafe")):
+        assert before.taken(Entry(ref, klass, 3, None, deadline, b"x"))
+    assert before.trying("tried", "north", time.time_ns() // MS)
+    client = await field.start()
+    assert await client.enqueue("new") == b"OK"
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "new" and field.host.calls.empty()
+    call.answer(200)
+    before.close()
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "safe"
+    call.answer(200)
+    assert await field.platform.next_notice() == {"ref": "tried", "result": "dead"}
+    relay = field.relays[0]
+    await until(lambda: not relay.held and not relay.journal.entries and not relay.journal.foreign)
+    await until(lambda: relay.overseer is not None and relay.overseer.done())
+
+
+@pytest.mark.parametrize("known", [True, False], ids=["not in the list", "no list"])
+async def test_relay_starts_with_a_message_whose_partner_it_does_not_know_yet(
+        field: Field, known: bool) -> None:
+    """The list in the configuration may be old, or unreadable: the message waits for the partner's entry."""
+    left_behind(field, "unsafe", 1, 8000)
+    listed = endpoint(field.host)
+    field.endpoints = [{**listed, "name": "s-9", "group": 9, **({} if known else {"status": "Unheard of"})}]
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG"
+    watch = await field.platform.next_watch()
+    assert list(field.relays[0].held) == ["old0"] and field.host.calls.empty()
+    watch.line(listing(42, listed))
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "old0"
+    call.answer(200)
+    await until(lambda: not field.relays[0].held)
+
+
 def trouble(relay: Relay) -> None:
     """Two bad calls: an outage, one trial at a time."""
     relay.turn(relay.message(SAFE), relay.message(SAFE))
