Read the configuration's known list entry by entry, and give back what it took

Change: `load` leaves the entries out, `load_known` reads the file again and hands each over as it is parsed; behind a list of over 20,000 entries freed memory goes back to the machine.

--- a/garnetrelay/catalog.py
+++ b/garnetrelay/catalog.py
@@ -18,6 +18,7 @@
 HEAD = struct.Struct("<HHBdqHHH")
 AVAILABILITIES = (io.Availability.RUNNING, io.Availability.STOPPING, io.Availability.DELETED)
 NUMBERS = {availability: number for number, availability in enumerate(AVAILABILITIES)}
+LONG = 20_000  # entries; reading fewer takes little
 DRAINING = NUMBERS[io.Availability.STOPPING]
 
 
@@ -154,6 +155,16 @@
             self._past.add(dest)
 
 
+def give_back() -> None:
+    """What reading a long list has taken and freed goes back to the machine: the C library may keep it, some
+    tens of megabytes, and it counts as ours."""
+    import ctypes  # here, as most relays never need it
+
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)  # the GNU C library's
+    if trim is not None:
+        trim(0)
+
+
 def draining(packed: bytes) -> int:
     """How many of a destination's endpoints drain."""
     return sum(HEAD.unpack_from(packed, at)[2] == DRAINING for at, _ in _spans(packed))
--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -57,7 +57,7 @@
     zone_names: tuple[str, ...]
     kind_names: tuple[str, ...]
     load_reports: bool
-    known: Any  # the list as the file has it, each entry as text; whoever reads it takes the entries out
+    path: str  # of the file: the known list is read from there
     list_bytes: int  # of the disk, for a list kept there; 0: none is
     settings: io.Settings
 
@@ -69,6 +69,16 @@
     return _read(environment, lambda raw: _config(raw, environment, Path(environment["RELAY_STATE"])))
 
 
+def load_known(config: Config, take: Callable[[dict[str, Any]], None]) -> Any:
+    """The list that the file has, its entries handed over one by one and left out: as objects, all of a
+    fleet's take some hundreds of megabytes. None without a list; ValueError where it can't be read any
+    more."""
+    try:
+        return _parsed(config.path, take).get("known")
+    except OSError as error:
+        raise ValueError(f"{config.path}: {error.strerror}") from None
+
+
 def load_discovery(environment: Mapping[str, str]) -> Address:
     """Where discovery is by now: the file alone says, as it may be replaced while the environment stays."""
     return _read(environment, lambda raw: Address.parse(raw["discovery"]))
@@ -79,7 +89,7 @@
         raise ConfigError("RELAY_CONFIG is not set")
     path = environment["RELAY_CONFIG"]
     try:
-        raw = json.loads(Path(path).read_text("utf-8"), object_hook=_as_text)
+        raw = _parsed(path, lambda entry: None)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
@@ -94,12 +104,15 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-def _as_text(value: dict[str, Any]) -> dict[str, Any] | bytes:
-    """What is an entry of the known list is kept as text until it is read: as objects, a fleet's list takes
-    some hundreds of megabytes."""
-    if "address" in value and "group" in value:
-        return json.dumps(value, separators=(",", ":")).encode()
-    return value
+def _parsed(path: str, take: Callable[[dict[str, Any]], None]) -> Any:
+    """The file's content. What becomes of the entries of the known list, ``take`` says; here None is left."""
+    def seen(value: dict[str, Any]) -> Any:
+        return take(value) if _is_entry(value) else value
+    return json.loads(Path(path).read_text("utf-8"), object_hook=seen)
+
+
+def _is_entry(value: dict[str, Any]) -> bool:
+    return "address" in value and "group" in value
 
 
 def _config(raw: dict[str, Any], environment: Mapping[str, str], state: Path) -> Config:
@@ -132,7 +145,7 @@
         zone_names=tuple(str(zone) for zone in facts.get("azs", ())),
         kind_names=tuple(str(kind) for kind in facts.get("kinds", ())),
         load_reports=facts.get("loadReport", {}).get("via", "off") != "off",
-        known=raw.get("known"),
+        path=environment["RELAY_CONFIG"],
         list_bytes=list_bytes,
         settings=dataclasses.replace(settings, kinds=kinds),
     )
--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -18,7 +18,7 @@
 import h11
 
 from garnetrelay.catalog import Endpoint, Staged
-from garnetrelay.config import Address, Config
+from garnetrelay.config import Address, Config, load_known
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -59,24 +59,27 @@
         self.stage = stage
 
     def read(self, raw: Any) -> News:
-        """Takes the entries out of an object, so that they make room for what they become. ValueError if it
-        can't be read: then nothing of it is taken over."""
+        """ValueError if it can't be read: then nothing of it is taken over."""
         staged = self.stage()
         try:
-            entries = raw["endpoints"]
-            entries.reverse()
-            while entries:
-                line = entries.pop()
-                self.add(staged, json.loads(line) if isinstance(line, bytes) else line)
-        except (KeyError, TypeError, AttributeError) as error:
+            for line in raw["endpoints"]:
+                self.add(staged, line)
+        except (KeyError, TypeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
         return self.news(raw, staged)
 
+    def read_known(self, config: Config) -> News:
+        """The list that the configuration names. ValueError if it can't be read."""
+        staged = self.stage()
+        facts = load_known(config, lambda line: self.add(staged, line))
+        if isinstance(facts, dict) and any(line is not None for line in facts.get("endpoints", ())):
+            raise ValueError("an entry without a group or an address")
+        return self.news(facts, staged)
+
     def news(self, facts: Any, staged: Staged) -> News:
         """What an object says beside its entries. ValueError if it can't be read."""
         try:
-            if "endpoints" not in facts:
-                raise KeyError("endpoints")
+            facts["endpoints"]  # an object without is no list
             return News(int(facts["index"]), bool(facts["snapshot"]), staged)
         except (KeyError, TypeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from garnetrelay import hosts as net
-from garnetrelay.catalog import Catalog, Endpoint, draining
+from garnetrelay.catalog import LONG, Catalog, Endpoint, draining, give_back
 from garnetrelay.clients import Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
@@ -227,7 +227,7 @@
         """The list to start with: what the configuration names, or what an earlier life kept if that is
         newer."""
         try:
-            news = self.reader.read(self.config.known)
+            news = self.reader.read_known(self.config)
         except ValueError as error:
             log.warning("the list in the configuration can't be read, starting without one: %s", error)
             news = None
@@ -238,6 +238,8 @@
             self.catalog.commit(news.staged, news.index, whole=True)
         else:
             return
+        if len(self.catalog) > LONG:
+            give_back()
         self.inbox.append(io.Roster(io.ListScope.CACHED, ()))
 
     def _recover(self, entries: list[Entry]) -> None:
@@ -413,6 +415,8 @@
             self._post(io.Roster(io.ListScope.FAILED, ()))
             return
         touched = self.catalog.commit(news.staged, news.index, news.whole)
+        if news.whole and len(self.catalog) > LONG:
+            give_back()
         if self.kept is not None and not self.passed_on:
             self.kept.keep(self.catalog, touched, news.whole)
         scope = io.ListScope.WHOLE if news.whole else io.ListScope.CHANGES
