Count a call's own wait as part of the pause to the next call for the list

Change: the pause ends 5.5 s after the call in vain began, at the latest. A call that ends at once pauses as before, and the draws stay the same.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -48,6 +48,7 @@
 ASK_APART = SECOND // 10  # of a fleet's calls for the list, where its watches all break at once
 ASK_SOON = SECOND  # for the first call behind a lost watch: its silence has lasted, and news is due
 ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
+ASK_WITHIN = 11 * SECOND // 2  # from a call that came to nothing to the next, which is answered before that
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
@@ -171,6 +172,7 @@
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
         self.ask_at = NEVER
         self.asks_failed = 0  # in a row
+        self.asked_at = NEVER  # when the last call for the list began
         self.subscribed = False
         self.stopping_at = NEVER  # when the process ends
         self.back_at = NEVER  # when the next one may send
@@ -235,7 +237,7 @@
         """Subscribe; what comes of it says when to ask again."""
         if self.now >= self.ask_at and not self.subscribed:
             self.actions.append(Subscribe())
-            self.ask_at = NEVER
+            self.ask_at, self.asked_at = NEVER, self.now
         if not self.subscribed:
             self.wake_at = min(self.wake_at, self.ask_at)
 
@@ -249,11 +251,13 @@
 
     def on_roster(self, event: Roster) -> None:
         if event.scope is ListScope.FAILED:
-            self.subscribed = False
             if self.settings.discovery is Discovery.SUBSCRIBE:
                 least = SECOND // 2 if self.asks_failed else 0
                 self.ask_at = self.now + least + round(self.random.random() * self.ask_span())
+                if not self.subscribed:  # discovery may be back since the call began: its wait counts too
+                    self.ask_at = max(self.now, min(self.ask_at, self.asked_at + ASK_WITHIN))
                 self.asks_failed += 1
+            self.subscribed = False
             return
         if event.scope is not ListScope.CACHED:
             self.subscribed = True
