Take up two connections at a time, so that a crowd leaves descriptors free

Cause: asyncio's server takes up as many connections in one turn as may wait (`backlog=BACKLOG`, 512, in `Server.start`, garnetrelay/clients.py) before `Connection.connection_made` shuts out any. With RLIMIT_NOFILE at 256, 120 calls out and 400 idle clients connecting at once all 256 descriptors were taken in each of three plays. The log had "watch ended: [Errno 24] Too many open files" in two of them, and 9,866 to 15,339 tracebacks of accept() (Python 3.11 goes on trying for the rest of the 512), each of which stops the taking up for a second.

Change: two are taken up in a turn; as many as before may wait.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -26,7 +26,8 @@
 LOOK_AGAIN = 0.05  # seconds until what lies unread on an overdue connection has been looked at
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
-BACKLOG = 512
+BACKLOG = 512  # connections that may wait to be taken up
+TAKEN_UP_AT_ONCE = 2  # in a turn of the loop: one that is shut out holds a descriptor for three turns
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -329,11 +330,13 @@
     async def start(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
         """Listen, at an inherited socket where there is one; the address that came of it."""
         loop = asyncio.get_running_loop()
-        if inherited is not None:
-            self._server = await loop.create_server(lambda: Connection(self), sock=inherited, backlog=BACKLOG)
-        else:
-            self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=BACKLOG)
-        name = self._server.sockets[0].getsockname()
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = inherited or socket.create_server((host, port), family=family, backlog=BACKLOG)
+        # asyncio has one figure for how many may wait and how many it takes up before it looks at any.
+        loop.call_soon(listener.listen, BACKLOG)
+        self._server = await loop.create_server(
+            lambda: Connection(self), sock=listener, backlog=TAKEN_UP_AT_ONCE)
+        name = listener.getsockname()
         self.address = str(name[0]), int(name[1])
         return self.address
 
