--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,6 +29,7 @@
         self.mgmt: int | None = None
         self.inherited: int | None = None
         self.child: asyncio.subprocess.Process | None = None
+        self.log: list[str] = []  # as far as it has been read
 
     async def start(self, until: str = "serves on") -> Client:
         environment = {**os.environ, **self.field.environment(self.port, self.mgmt)}
@@ -44,8 +45,11 @@
         """Wait for a line of its log."""
         assert self.child is not None and self.child.stderr is not None
         async with asyncio.timeout(PATIENCE):
-            while text.encode() not in (line := await self.child.stderr.readline()):
-                assert line, f"the relay ended and never said '{text}'"
+            while line := (await self.child.stderr.readline()).decode():
+                self.log.append(line)
+                if text in line:
+                    return
+        raise AssertionError(f"the relay ended and never said '{text}'")
 
     async def end(self, number: signal.Signals) -> int:
         assert self.child is not None
