--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -26,8 +26,8 @@
 LOOK_AGAIN = 0.05  # seconds until what lies unread on an overdue connection has been looked at
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
-BACKLOG = 512
-ACCEPTED_AT_ONCE = 8  # connections until their number is looked at again: each is a descriptor meanwhile
+BACKLOG = 512  # connections that may wait to be accepted
+ACCEPTED_AT_ONCE = 2  # in a turn of the loop: one that is shut out holds a descriptor for three turns
 ACCEPT_AGAIN = 0.1  # seconds without accepting where no descriptor is left
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
