Ask for the whole list where discovery is behind the version kept on disk

Cause: a kept list outlives its process, and may outlive discovery's count of versions. Changes up to an older version say nothing of it.

Change: the first changes behind a start from the disk must reach its version at least; if not, the whole list is asked for.

--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -118,6 +118,7 @@
         self.on_news = on_news
         self.failures = 0  # in a row: watches that were not taken up
         self.whole: bool = False  # ask for the whole list next: some of what came could not be read
+        self.kept: bool = False  # the version is one that the disk kept: discovery may not go on from there
         self.task: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
@@ -192,7 +193,9 @@
         its changes, so the whole list is asked for next."""
         try:
             for news in lines.feed(data):
-                self.whole = False
+                if self.kept and not news.whole and news.index < self.index:
+                    raise ValueError(f"changes up to version {news.index}; {self.index} is on the disk")
+                self.whole = self.kept = False
                 self.index = news.index
                 self.on_news(news)
         except ValueError:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -232,7 +232,7 @@
             log.warning("the list in the configuration can't be read, starting without one: %s", error)
             news = None
         if self.kept is not None and self.kept.load(self.catalog, -1 if news is None else news.index):
-            self.discovery.index = self.catalog.version
+            self.discovery.index, self.discovery.kept = self.catalog.version, True
         elif news is not None:
             self.discovery.index = news.index
             self.catalog.commit(news.staged, news.index, whole=True)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -325,6 +325,27 @@
     (await field.host.next_call()).answer(200)
 
 
+async def test_kept_list_that_discovery_is_behind_is_asked_for_whole(field: Field) -> None:
+    """Its versions began anew, say: changes up to version 12 say nothing of a list of version 50."""
+    field.extra["list"] = {"keep": True}
+    await field.start()
+    relay = field.relays[0]
+    watch = await field.platform.next_watch()
+    watch.line(listing(50, endpoint(field.host), endpoint(field.host, "s-2"), snapshot=True))
+    await until(lambda: relay.kept is not None and relay.kept.file is not None)
+    relay.server.stop()
+    relay.close()
+    field.relays.clear()
+    await field.start()
+    watch = await field.platform.next_watch()
+    assert watch.call.line.split()[1].endswith("since=50")
+    watch.line(listing(12, endpoint(field.host, "s-3")))
+    watch = await field.platform.next_watch()
+    assert watch.call.line.split()[1].endswith("since=0")
+    watch.line(listing(12, endpoint(field.host, "s-3"), snapshot=True))
+    await until(lambda: set(field.relays[0].catalog) == {"s-3"})
+
+
 async def test_restart_with_a_damaged_list_starts_from_the_configuration(
         field: Field, caplog: pytest.LogCaptureFixture) -> None:
     field.extra["list"] = {"keep": True}
