--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -175,8 +175,11 @@
     await client.enqueue("m1", "unsafe")
     call = await field.host.next_call()
     call.raw(head)
+    sent = 0
     while field.host.closed.empty():
+        assert sent < 1 << 20  # it is given up for its size, long before its time is up
         call.raw(more)
+        sent += len(more)
         await asyncio.sleep(0.001)
     assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
     assert not field.relays[0].hosts.open and field.host.calls.empty()
@@ -188,9 +191,10 @@
     call = await field.host.next_call()
     call.raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
     await until(lambda: not field.relays[0].held)
-    while field.host.closed.empty():
-        call.raw(b"1\r\nx\r\n")
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(PATIENCE):
+        while field.host.closed.empty():
+            call.raw(b"1\r\nx\r\n")
+            await asyncio.sleep(0.01)
     assert not field.relays[0].hosts.open and field.platform.notices.empty()
 
 
@@ -219,7 +223,8 @@
 async def test_relay_is_ready_and_delivers_while_discovery_is_down(field: Field, mode: str) -> None:
     field.facts["discovery"] = mode
     await field.platform.stop()
-    client = await field.start()
+    async with asyncio.timeout(PATIENCE):
+        client = await field.start()
     assert await client.ask("PING") == b"PONG"
     assert await client.enqueue("m1", "unsafe") == b"OK"
     (await field.host.next_call()).answer(200)
