Leave no record between an answer and the end that says the call never ran

Cause: garnetrelay/relay.py, `_send`, `done`: a delivered message had two records written, "outcome, ran: false" and then "ended". A kill between the two left the next life a message with one attempt that surely never ran: an unsafe one was sent again, though it was delivered. Change: where the answer ends the message, "ended" alone is written; without it the attempt has no outcome, and counts as one that may have run. Found by reading, not seen on a bench (the gap is two writes wide).

--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -506,7 +506,7 @@
             message.exchange = None
             log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
             self.outcomes["stale" if outcome.stale else outcome.status.name.lower()] += 1
-            if written:
+            if written and not outcome.finished:  # a kill between two records would leave one that never ran
                 self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
             if self.passed_on and self.handover is not None:
                 self.handover.tell({
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,7 @@
 import pytest
 
 from garnetrelay import clients, hosts
+from garnetrelay.journal import Journal
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
 from tests.processes import ROOT, free_port
@@ -324,6 +325,26 @@
     assert set(relay.journal.entries) == {"m1"}
 
 
+@pytest.mark.parametrize("status", [200, 410])
+async def test_kill_between_an_answer_and_the_record_of_the_end_leaves_what_may_have_run(
+        field: Field, monkeypatch: pytest.MonkeyPatch, tmp_path: Path, status: int) -> None:
+    client = await field.start()
+    relay = field.relays[0]
+    ended, copies = relay.journal.ended, []
+
+    def killed(*args: Any) -> None:
+        copies.append((field.state / "journal").read_bytes())
+        ended(*args)
+
+    monkeypatch.setattr(relay.journal, "ended", killed)
+    await client.enqueue("m1", "unsafe")
+    (await field.host.next_call()).answer(status)
+    await until(lambda: not relay.held)
+    (tmp_path / "copy").write_bytes(copies[0])
+    entry = Journal(tmp_path, 3_000_000, "copy").entries["m1"]
+    assert entry.attempts == 1 and (entry.trying_at is not None or entry.ran_at is not None)
+
+
 async def test_turn_that_was_due_when_the_process_closed_touches_nothing(field: Field) -> None:
     await field.start()
     relay = field.relays.pop()
