Close a peer that sends nothing but requests that make no sense

What was seen: a probe, two peers that each send 20 MB of a command nobody knows, beside a client that hands in messages one after the other: the relay takes all of its processor for the 6 s looked at and logs 33 MB; the client's answers take 155 ms in the median and 264 ms at most (it waits for 400). With an unknown class: all of the processor, 15 MB of log, 18 and 47 ms. Cause: garnetrelay/clients.py, `_command`: each request that can't be understood is answered and logged, without end; 64 KiB of them, some 4,700, are one turn of the loop. Change: 32 in a row end with an error and a close. What a client may send in good faith does not count, an unknown destination above all: the list may be behind. Test in tests/test_standing.py, fails without the change.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -26,6 +26,7 @@
 LOOK_AGAIN = 0.05  # seconds until what lies unread on an overdue connection has been looked at
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
+MOST_REJECTED = 32  # requests in a row that can't be understood: no client sends so many
 BACKLOG = 512
 ACCEPTED_AT_ONCE = 8  # connections until their number is looked at again: each is a descriptor meanwhile
 ACCEPT_AGAIN = 0.1  # seconds without accepting where no descriptor is left
@@ -79,7 +80,7 @@
         self._connection.send_ready()
 
 
-Handler = Callable[[Request, Reply], None]
+Handler = Callable[[Request, Reply], None]  # may raise Rejected
 
 
 def parse_enqueue(words: list[bytes]) -> Request:
@@ -147,6 +148,7 @@
         self.unread = bytearray()  # of a command that has not come whole
         self.more: bool = False  # of what has been read, a part has not been looked at
         self.replies: deque[Reply] = deque()
+        self.rejected = 0  # requests in a row that can't be understood
         self.lost: bool = False
         self.closing: bool = False
         self.transport: asyncio.Transport | None = None
@@ -252,9 +254,13 @@
                     reply.pong(words[1] if len(words) == 2 else None)
             else:
                 raise Rejected(f"unknown command '{words[0][:40].decode('ascii', 'replace')}'")
+            self.rejected = 0
         except Rejected as error:
             log.info("client request not understood: %s", error)
             reply.error(str(error))
+            self.rejected += 1
+            if self.rejected >= MOST_REJECTED:
+                self.fail("nothing but requests that make no sense")
 
     def send_ready(self) -> None:
         """Write the answers that are due, in the order of their requests."""
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from garnetrelay import hosts as net
-from garnetrelay.clients import Reply, Request, Server
+from garnetrelay.clients import Rejected, Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
@@ -346,9 +346,7 @@
             reply.busy(0)
             return
         if request.klass not in self.class_numbers:
-            reply.error(f"unknown class '{request.klass[:40]}'")
-            log.info("client request for an unknown class")
-            return
+            raise Rejected(f"unknown class '{request.klass[:40]}'")
         if request.dest not in self.dests:
             reply.error(f"unknown destination {request.dest}")
             log.info("client request for an unknown destination %d", request.dest)
@@ -356,9 +354,7 @@
         klass = self.settings.classes[self.class_numbers[request.klass]]
         if klass.repeat is io.Repeat.KEYED and request.key is None:
             # Without its key no host could drop a repeat.
-            reply.error("'k' is missing")
-            log.info("client request of a keyed class without a key")
-            return
+            raise Rejected("'k' is missing")
         if request.ref in self.held:
             reply.ok()  # it is taken on already
             return
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -62,6 +62,23 @@
     await until(lambda: not field.relays[0].held and len(server.connections) == 1)
 
 
+@pytest.mark.parametrize("words", [("NOPE",), ("ENQUEUE", "0", "n", "c=none,d=8000,dest=3", "x")],
+                         ids=["command", "class"])
+async def test_peer_that_sends_nothing_but_nonsense_is_told_so_and_closed(
+        field: Field, words: tuple[str, ...]) -> None:
+    """Tens of thousands of commands in a few reads: to answer them all takes the processor for seconds."""
+    client = await field.start()
+    client.writer.write(packed(*words) * 20_000 + packed("PING"))
+    answers = []
+    while (answer := await client.read()) is not None:
+        answers.append(answer)
+    assert len(answers) == clients.MOST_REJECTED + 1 and all(one.startswith("ERR") for one in answers)
+    other = await Client.connect(client.writer.get_extra_info("peername")[1])
+    for n in range(clients.MOST_REJECTED * 2):  # now and then one may be wrong
+        assert (await other.ask(*words)).startswith("ERR")
+        assert await other.ask("PING", str(n)) == str(n).encode()
+
+
 # ---- sockets
 
 
