Let no passing error end the look for journals that others left

Cause: garnetrelay/ownership.py, `take_up`: an error other than "held" or "gone" (no descriptor left, above all) went through `Relay._oversee`, and ended that task without a word: what a process before us left would not be taken up again. Change: it is logged, and the next look tries again. Found by reading. Test in tests/test_ownership.py; fails without the change.

--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import re
 from collections import ChainMap
 from collections.abc import Iterable
@@ -16,6 +17,8 @@
 
 from garnetrelay.journal import Entry, Journal
 
+log = logging.getLogger(__name__)
+
 NAME = re.compile(r"journal(\.\d+)?")
 LEARNED_SHARE = 8  # of the disk, an eighth is for what a process passes on besides messages
 
@@ -52,6 +55,8 @@
                 self.foreign.append(self.folder / name)
             except FileNotFoundError:
                 pass
+            except OSError as error:  # no descriptor is left, say: whoever looks goes on looking
+                log.error("journal: %s cannot be taken up: %s", name, error.strerror)
             else:
                 taken += self._add(journal)
         self.seen = self.seen | {entry.ref for entry in taken} if self.foreign else set()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import shutil
 from pathlib import Path
 
 import pytest
 
+from garnetrelay import journal
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.ownership import Ownership
 
@@ -133,3 +135,20 @@
     assert sum(path.stat().st_size for path in tmp_path.iterdir()) < DISK
     before.close()
     assert after.take_up() and not after.has_room(2000)
+
+
+def test_journal_that_cannot_be_opened_just_now_is_taken_up_later(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """No descriptor is left, say: an error would end the task that looks, for good."""
+    before, after = opened(tmp_path), opened(tmp_path)
+    assert before.taken(entry("a"))
+    before.close()
+    really_open = journal._open_locked
+
+    def fails(path: Path, create: int) -> int:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr(journal, "_open_locked", fails)
+    assert after.take_up() == [] and not after.foreign  # nor is it another process's
+    monkeypatch.setattr(journal, "_open_locked", really_open)
+    assert [one.ref for one in after.take_up()] == ["a"]
