Take a report of next to no limit for none

Cause: garnetrelay/hosts.py, `parse_report` lets through any finite number that is not negative. Test in tests/test_standing.py, over sockets; without the change its second call never goes out. The same holds for a listed `weight` (garnetrelay/discovery.py): reported, not changed here.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -33,6 +33,7 @@
 MOST_ANSWER = 64 * 1024  # beyond this an answer is not worth reading for its connection's sake
 STALE_TIME = 0.1  # seconds, a trip there and back: so soon breaks a call on what its host had closed
 DELIVERED = re.compile(rb"HTTP/\d\.\d 200(?: [^\r\n]*)?\r?\n")  # a first line that holds, whatever follows
+LEAST_LIMIT = 1e-6  # calls a second: a report of less is none, and the time for one call must stay a number
 DRAIN_TIME = 0.5  # seconds for what is left of an answer whose outcome is known
 
 
@@ -116,6 +117,8 @@
     left, limit = values.get("x0"), values.get("x1")
     if left is None and limit is None or not all(math.isfinite(v) and v >= 0 for v in values.values()):
         return None
+    if limit is not None and 0 < limit < LEAST_LIMIT:
+        return None
     return io.Report(left=left or 0.0, limit=limit or 0.0)
 
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -233,6 +233,18 @@
     assert field.platform.notices.empty()
 
 
+async def test_report_of_an_absurd_limit_ends_no_turn(field: Field) -> None:
+    """The time for one call was no number any more, and each turn from then on ended in an error."""
+    client = await field.start()
+    await client.enqueue("m1")
+    (await field.host.next_call()).answer(503, "X-Server-Load: x0=0.4,x1=1e-310")
+    (await field.host.next_call()).answer(200, "X-Server-Load: x0=0.4,x1=1e308")
+    await until(lambda: not field.relays[0].held)
+    assert await client.enqueue("m2") == b"OK"
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+
+
 # ---- readiness
 
 
