Let an error at one client's answer cost that client's connection only

Change: garnetrelay/clients.py, `Reply._set` logs whatever is raised there and drops that connection. Test: test_no_error_at_one_clients_answer_costs_others_their_turn, fails without the change.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -77,7 +77,11 @@
 
     def _set(self, data: bytes) -> None:
         self.data = data
-        self._connection.send_ready()
+        try:
+            self._connection.send_ready()
+        except Exception:  # whatever it is: the turn that answers has others to answer, and calls to send
+            log.exception("an answer cannot be written")
+            self._connection.drop()
 
 
 Handler = Callable[[Request, Reply], None]  # may raise Rejected
@@ -290,6 +294,10 @@
             else:
                 reply.error(text)
 
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
     def _linger(self) -> None:
         """End our side only. A close with its bytes unread would be a reset, and that takes back the error
         that we have just written. The transport itself waits for what is not written yet."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -192,7 +192,8 @@
     raw.close()
 
 
-async def test_client_that_garbles_and_goes_leaves_the_turn_whole(field: Field) -> None:
+async def test_client_that_garbles_and_goes_leaves_the_turn_whole(
+        field: Field, caplog: pytest.LogCaptureFixture) -> None:
     """Our answer meets a closed socket, so that its side's end can't be ended any more: that must cost no
     other client its answer, and no message its call."""
     other = await field.start()
@@ -206,10 +207,32 @@
     relay = field.relays[0]
     await until(lambda: not relay.held and not relay.pacer.calls and not relay.pacer.messages)
     await until(lambda: len(relay.server.connections) == 1)
+    assert not [record for record in caplog.records if record.exc_info]
 
 
-async def test_client_that_resets_as_a_draining_relay_closes_leaves_the_turn_whole(
+async def test_no_error_at_one_clients_answer_costs_others_their_turn(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Twice such an error ended whole turns: calls held slots for good, ends were never told."""
+    other = await field.start()
+    raw = await raw_client(field)
+    relay = field.relays[0]
+    *_, spoilt = relay.server.connections
+
+    def fails() -> None:
+        raise RuntimeError("anything")
+
+    monkeypatch.setattr(spoilt, "send_ready", fails)
+    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
+    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
+    assert await other.read() == b"OK"
+    for _ in range(2):
+        (await field.host.next_call()).answer(200)
+    await until(lambda: not relay.held and not relay.pacer.calls and len(relay.server.connections) == 1)
+    raw.close()
+
+
+async def test_client_that_resets_as_a_draining_relay_closes_leaves_the_turn_whole(
+        field: Field, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
     """Behind the last look at the socket, before our side ends."""
     other = await field.start()
     raw = await raw_client(field)
@@ -239,6 +262,7 @@
         (await field.host.next_call()).answer(200)
     await until(lambda: not relay.held and not relay.pacer.calls)
     assert raw.fileno() < 0
+    assert not [record for record in caplog.records if record.exc_info]
 
 
 async def test_client_that_resets_as_the_process_ends_costs_no_other_its_answer(field: Field) -> None:
