--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -15,7 +15,7 @@
 
 from garnetrelay import hosts as net
 from garnetrelay.catalog import LONG, Catalog, Endpoint, draining, give_back
-from garnetrelay.clients import Reply, Request, Server
+from garnetrelay.clients import Rejected, Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
@@ -373,9 +373,7 @@
             reply.busy(0)
             return
         if request.klass not in self.class_numbers:
-            reply.error(f"unknown class '{request.klass[:40]}'")
-            log.info("client request for an unknown class")
-            return
+            raise Rejected(f"unknown class '{request.klass[:40]}'")
         if not self.catalog.knows(request.dest):
             reply.error(f"unknown destination {request.dest}")
             log.info("client request for an unknown destination %d", request.dest)
@@ -383,9 +381,7 @@
         klass = self.settings.classes[self.class_numbers[request.klass]]
         if klass.repeat is io.Repeat.KEYED and request.key is None:
             # Without its key no host could drop a repeat.
-            reply.error("'k' is missing")
-            log.info("client request of a keyed class without a key")
-            return
+            raise Rejected("'k' is missing")
         if request.ref in self.held:
             reply.ok()  # it is taken on already
             return
@@ -567,7 +563,7 @@
             message.exchange = None
             log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
             self.outcomes["stale" if outcome.stale else outcome.status.name.lower()] += 1
-            if written:
+            if written and not outcome.finished:  # a kill between two records would leave one that never ran
                 self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
             if self.passed_on and self.handover is not None:
                 self.handover.tell({
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -62,6 +62,23 @@
     await until(lambda: not field.relays[0].held and len(server.connections) == 1)
 
 
+@pytest.mark.parametrize("words", [("NOPE",), ("ENQUEUE", "0", "n", "c=none,d=8000,dest=3", "x")],
+                         ids=["command", "class"])
+async def test_peer_that_sends_nothing_but_nonsense_is_told_so_and_closed(
+        field: Field, words: tuple[str, ...]) -> None:
+    """Tens of thousands of commands in a few reads: to answer them all takes the processor for seconds."""
+    client = await field.start()
+    client.writer.write(packed(*words) * 20_000 + packed("PING"))
+    answers = []
+    while (answer := await client.read()) is not None:
+        answers.append(answer)
+    assert len(answers) == clients.MOST_REJECTED + 1 and all(one.startswith("ERR") for one in answers)
+    other = await Client.connect(client.writer.get_extra_info("peername")[1])
+    for n in range(clients.MOST_REJECTED * 2):  # now and then one may be wrong
+        assert (await other.ask(*words)).startswith("ERR")
+        assert await other.ask("PING", str(n)) == str(n).encode()
+
+
 # ---- sockets
 
 
@@ -175,8 +192,11 @@
     await client.enqueue("m1", "unsafe")
     call = await field.host.next_call()
     call.raw(head)
+    sent = 0
     while field.host.closed.empty():
+        assert sent < 1 << 20  # it is given up for its size, long before its time is up
         call.raw(more)
+        sent += len(more)
         await asyncio.sleep(0.001)
     assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
     assert not field.relays[0].hosts.open and field.host.calls.empty()
@@ -188,9 +208,10 @@
     call = await field.host.next_call()
     call.raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
     await until(lambda: not field.relays[0].held)
-    while field.host.closed.empty():
-        call.raw(b"1\r\nx\r\n")
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(PATIENCE):
+        while field.host.closed.empty():
+            call.raw(b"1\r\nx\r\n")
+            await asyncio.sleep(0.01)
     assert not field.relays[0].hosts.open and field.platform.notices.empty()
 
 
@@ -212,6 +233,18 @@
     assert field.platform.notices.empty()
 
 
+async def test_report_of_an_absurd_limit_ends_no_turn(field: Field) -> None:
+    """The time for one call was no number any more, and each turn from then on ended in an error."""
+    client = await field.start()
+    await client.enqueue("m1")
+    (await field.host.next_call()).answer(503, "X-Server-Load: x0=0.4,x1=1e-310")
+    (await field.host.next_call()).answer(200, "X-Server-Load: x0=0.4,x1=1e308")
+    await until(lambda: not field.relays[0].held)
+    assert await client.enqueue("m2") == b"OK"
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+
+
 # ---- readiness
 
 
@@ -219,7 +252,8 @@
 async def test_relay_is_ready_and_delivers_while_discovery_is_down(field: Field, mode: str) -> None:
     field.facts["discovery"] = mode
     await field.platform.stop()
-    client = await field.start()
+    async with asyncio.timeout(PATIENCE):
+        client = await field.start()
     assert await client.ask("PING") == b"PONG"
     assert await client.enqueue("m1", "unsafe") == b"OK"
     (await field.host.next_call()).answer(200)
