--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -26,6 +26,7 @@
 ANSWER_TIME = 2.0  # seconds to be taken up in; what a watch misses counts as told 6 s after it fell silent
 MOST_ANSWER_TIME = 5.0  # where that fails again and again: discovery may work through its calls in turn
 SILENCE = 3.0  # seconds without a line, of which one comes every 2: the watch is dead
+LEAST_RATE, MOST_RATE = 1e-6, 1e9  # calls a second that may be listed; whatever else is tells nothing
 MOST_KEPT = 64 * 1024  # bytes of an object that are kept until it is whole; a longer one is read as it comes
 MOST_ENTRY = 16 * 1024  # characters of one entry
 SPACE = re.compile(r"[ \t\r\n]*")
@@ -91,13 +92,14 @@
                 raise ValueError(f"unknown status {line['status']!r}")
             availability = STATES[line["status"]]
             gone = availability is io.Availability.DELETED
+            rate = float(line.get("weight", 1.0))
             staged.add(Endpoint(
                 name=str(line["name"]),
                 dest=int(line["group"]),
                 zone=self.zones[line["zone"]] if self.zones else 0,
                 kind=self.kinds[line["type"]] if self.kinds else 0,
                 availability=availability,
-                rate=float(line.get("weight", 1.0)),
+                rate=rate if LEAST_RATE <= rate <= MOST_RATE else 0.0,
                 started=0 if gone else int(line.get("since_ms", 0)),
                 address=NOWHERE if gone else Address.parse(line["address"]),
             ))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -202,6 +202,19 @@
     assert {connection.host for connection in one.hosts.open} == {"s-2"}
 
 
+@pytest.mark.parametrize("weight", [1e-310, 0, -1, 1e308, float("nan")])
+async def test_listed_rate_that_is_none_ends_no_turn(field: Field, weight: float) -> None:
+    """A spoilt entry, say: the time for one call of it is no number, and each turn would end in an error."""
+    field.facts["weightSource"] = "nominal"
+    field.endpoints = [{**endpoint(field.host), "weight": weight}]
+    client = await field.start()
+    for ref in ("m1", "m2", "m3"):
+        assert await client.enqueue(ref) == b"OK"
+        (await field.host.next_call()).answer(503)
+        (await field.host.next_call()).answer(200)
+        await until(lambda: not field.relays[0].held)
+
+
 async def test_idle_connections_go_with_the_process_they_led_to(field: Field) -> None:
     """An endpoint that was started anew kept none of them, and may not have said so."""
     client = await field.start()
