Keep the times of a destination's calls in plain lists

Cause: four empty deques take 3 KB for each destination that is known; of 160,000 some 6,560 are down at any time, and what is known of their trouble has to be kept.

Change: lists, of which what is out of date is cut off by bisection.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -11,6 +11,7 @@
 import heapq
 import math
 import random
+from bisect import bisect_right
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
@@ -106,10 +107,10 @@
     ramp_from: int | None = None  # when it came back
     part: float = 0.0  # calls a second of this relay's part of what it takes when warm
     next_at: int = 0  # trial while in trouble, spacing on the ramp
-    refusals: deque[int] = field(default_factory=deque)
-    sent: deque[int] = field(default_factory=deque)
-    arrived: deque[int] = field(default_factory=deque)
-    served: deque[int] = field(default_factory=deque)
+    refusals: list[int] = field(default_factory=list)  # times, oldest first, as in the next three
+    sent: list[int] = field(default_factory=list)
+    arrived: list[int] = field(default_factory=list)
+    served: list[int] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
 
 
@@ -552,7 +553,7 @@
             if name in self.hosts:
                 dest = self.hosts[name][0]
                 for field_name, value in known.items():
-                    setattr(dest, field_name, deque(value) if field_name in LEARNED_SPANS else value)
+                    setattr(dest, field_name, list(value) if field_name in LEARNED_SPANS else value)
         for name, values in facts["hosts"].items():
             if name in self.hosts:
                 host = self.hosts[name][1]
@@ -613,8 +614,7 @@
             dest.refused_from = self.now
         if call.sent_at >= dest.cut_at:  # what went out before a cut says nothing of the new ceiling
             dest.refusals.append(self.now)
-        while dest.refusals and dest.refusals[0] <= self.now - CUT_SPAN:
-            dest.refusals.popleft()
+        del dest.refusals[:bisect_right(dest.refusals, self.now - CUT_SPAN)]
         if len(dest.refusals) >= CUT_AFTER:
             dest.refusals.clear()
             dest.cut_from = dest.ceiling or self.rate(dest.sent, SENT_SPAN)
@@ -721,13 +721,12 @@
 
     # ---- sending
 
-    def rate(self, times: deque[int], span: int) -> float:
+    def rate(self, times: list[int], span: int) -> float:
         """Events a second over the last ``span``."""
-        while times and times[0] <= self.now - span:
-            times.popleft()
+        del times[:bisect_right(times, self.now - span)]
         return len(times) * SECOND / max(SECOND, min(span, self.now - (self.started or 0)))
 
-    def mark(self, times: deque[int], span: int) -> None:
+    def mark(self, times: list[int], span: int) -> None:
         """Note an event for a rate over ``span``."""
         times.append(self.now)
         self.rate(times, span)  # drops what is older
