Refuse a request of which a part has been read as the process ends

Cause: garnetrelay/clients.py, `Server.end` closed every connection; where a part of a request had been read, its client wrote the last byte and saw the connection end with no answer, which counts as lost (one that lies unread goes out again on a new connection). Change: such a connection hears BUSY first. Found by reading. Test in tests/test_crossings.py; ConnectionResetError without the change.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -467,6 +467,8 @@
     async def end(self) -> None:
         """The process ends: what has been answered still reaches its client."""
         for connection in list(self.connections):
+            if connection.unread:  # read in part: its client writes the rest, and waits
+                connection.fail("the process ends", busy=True)
             connection.closing = True
             connection.hang_up()
         if self.connections:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -369,6 +369,22 @@
     assert entry.attempts == 1 and (entry.trying_at is not None or entry.ran_at is not None)
 
 
+async def test_request_of_which_a_part_has_been_read_as_the_process_ends_is_refused(field: Field) -> None:
+    """Its client writes the rest, and would see its connection end with no answer."""
+    client = await field.start()
+    relay = field.relays[0]
+    command = packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
+    client.writer.write(command[:30])
+    await until(lambda: any(connection.unread for connection in relay.server.connections))
+    relay.ending = True
+    end = asyncio.create_task(relay.server.end())
+    await asyncio.sleep(0)
+    client.writer.write(command[30:])
+    await end
+    assert await client.read() == "BUSY" and await client.read() is None
+    assert not relay.journal.entries
+
+
 async def test_turn_that_was_due_when_the_process_closed_touches_nothing(field: Field) -> None:
     await field.start()
     relay = field.relays.pop()
