--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import resource
 import signal
 import socket
+from typing import Any
 
 import pytest
 
@@ -47,6 +49,29 @@
     assert b"open files" not in told and b"Traceback" not in told
 
 
+@pytest.mark.parametrize("ends", [False, True], ids=["serves on", "stops"])
+async def test_connection_that_finds_no_descriptor_is_accepted_later(
+        field: Field, monkeypatch: pytest.MonkeyPatch, ends: bool) -> None:
+    first = await field.start()
+    server = field.relays[0].server
+    assert server.address is not None
+    accept, errors = socket.socket.accept, [OSError(errno.EMFILE, "Too many open files")]
+
+    def fails_once(listener: socket.socket) -> Any:
+        if errors and listener.getsockname() == server.address:
+            raise errors.pop()
+        return accept(listener)
+
+    monkeypatch.setattr(socket.socket, "accept", fails_once)
+    late = await Client.connect(server.address[1])
+    await until(lambda: not errors)
+    assert len(server.connections) == 1
+    if ends:
+        server.stop()
+    assert await late.ask("PING") == b"PONG"
+    assert ends or await first.ask("PING") == b"PONG"
+
+
 async def test_client_that_sends_many_commands_and_goes_costs_others_nothing(field: Field) -> None:
     """More than its socket takes in answers, none of them read; its messages are no proper requests."""
     other = await field.start()
