Keep the list on the disk by default, in a 32nd of it

Change: the kept list is on unless the configuration says `"keep": false`; not named, it takes a 32nd of the disk's limit, and a longer list is not kept.

--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -16,6 +16,8 @@
 
 T = TypeVar("T")
 
+LIST_SHARE = 32  # of the disk, so much of it is for the list where the configuration does not say
+
 
 class ConfigError(ValueError):
     """A configuration that the relay cannot start with."""
@@ -125,8 +127,9 @@
     disk_bytes = int(float(limits.get("disk_mb", 64)) * 1_000_000)
     kept = raw.get("list", {})
     list_bytes = 0
-    if kept.get("keep", False):
-        list_bytes = int(float(kept["disk_mb"]) * 1_000_000) if "disk_mb" in kept else disk_bytes // 2
+    if kept.get("keep", True):
+        share = disk_bytes // (2 if "keep" in kept else LIST_SHARE)
+        list_bytes = int(float(kept["disk_mb"]) * 1_000_000) if "disk_mb" in kept else share
         if not 0 < list_bytes < disk_bytes:
             raise ValueError(f"list.disk_mb: {list_bytes} bytes, of {disk_bytes} by limits.disk_mb")
     return Config(
--- a/garnetrelay/keptlist.py
+++ b/garnetrelay/keptlist.py
@@ -34,7 +34,7 @@
 PAUSE = 0.005  # seconds between two slices
 ANEW_SHARE = 0.25  # of the whole list's size: changes beyond that are worth writing it anew
 ANEW_FROM = 64 * 1024  # bytes of changes below which they are not
-AGAIN_AFTER = 60.0  # seconds after the whole list could not be written: the disk may have room again
+AGAIN_AFTER = 600.0  # seconds after the whole list could not be written: the disk may have room again
 
 
 class KeptList:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -22,7 +22,7 @@
 from garnetrelay.keptlist import KeptList
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
-from tests.sockets import Client, Field, endpoint, listing, until
+from tests.sockets import Client, Field, HttpServer, endpoint, listing, until
 
 RUNNING, STOPPING, DELETED = io.Availability.RUNNING, io.Availability.STOPPING, io.Availability.DELETED
 
@@ -354,7 +354,35 @@
     assert target.endswith("since=41") and set(again.catalog) == {"s-1"}
 
 
-async def test_without_being_named_no_list_is_kept(field: Field) -> None:
+@pytest.mark.parametrize("status", ["Terminating", "Gone"])
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+async def test_what_the_process_before_was_told_binds_from_the_first_moment(
+        field: Field, status: str, mode: str) -> None:
+    """Discovery is down as it starts, and tells nothing: what the agent has counts as told all the same."""
+    field.facts["discovery"] = mode
+    other = HttpServer()
+    await other.start()
+    field.endpoints = [endpoint(field.host), endpoint(other, "s-2")]
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(42, endpoint(field.host, status=status)))
+    await until(lambda: field.relays[0].kept is not None and field.relays[0].kept.file is not None)
+    field.relays[0].server.stop()
+    field.relays[0].close()
+    field.relays.clear()
+    assert field.platform.server is not None
+    field.platform.server.close()
+    client = await field.start()
+    for n in range(6):
+        await client.enqueue(f"m{n}")
+        (await other.next_call()).answer(200)
+        await until(lambda: not field.relays[0].held)
+    assert field.host.calls.empty()
+    await other.stop()
+
+
+async def test_list_that_is_not_to_be_kept_is_not(field: Field) -> None:
+    field.extra["list"] = {"keep": False}
     await field.start()
     watch = await field.platform.next_watch()
     watch.line(listing(42, endpoint(field.host), snapshot=True))
@@ -367,7 +395,8 @@
         field.extra["list"] = kept
         return field.config()
     field.limits["disk_mb"] = 8
-    assert (configured().list_bytes, configured().disk_bytes) == (0, 8_000_000)
+    assert (configured().list_bytes, configured().disk_bytes) == (250_000, 7_750_000)
+    assert (configured(keep=False).list_bytes, configured(keep=False).disk_bytes) == (0, 8_000_000)
     assert (configured(keep=True).list_bytes, configured(keep=True).disk_bytes) == (4_000_000, 4_000_000)
     assert configured(keep=True, disk_mb=3).disk_bytes == 5_000_000
     for wrong in ({"keep": True, "disk_mb": 8}, {"keep": True, "disk_mb": 0}, {"keep": True, "disk_mb": "x"}):
