Take what another version of the program learned as far as it is known

Cause: `on_learned` set whatever fields it was told and unpacked exactly five figures a host. In an upgrade between versions that keep others, the turn ended in an error, its sends and ends with it (found by reading).

Change: facts that both know are taken.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -59,6 +59,7 @@
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 LEARNED_SPANS = ("refusals", "sent", "arrived", "served")
 NOT_LEARNED = ("number", "per_call", "hosts", "calls", *LEARNED_SPANS)  # in the list, or out
+LEARNED_OF_HOSTS = ("last_sent", "gap", "last_ok_sent", "bad", "retry_at")
 FAILED = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED)
 MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
@@ -542,22 +543,25 @@
             if dest.hosts[0].name == name:
                 facts = {f.name: getattr(dest, f.name) for f in fields(dest) if f.name not in NOT_LEARNED}
                 dests[name] = facts | {span: list(getattr(dest, span)) for span in LEARNED_SPANS}
-        hosts = {name: [host.last_sent, host.gap, host.last_ok_sent, host.bad, host.retry_at]
+        hosts = {name: [getattr(host, fact) for fact in LEARNED_OF_HOSTS]
                  for name, (_, host) in self.hosts.items()}
         return {"started": self.started, "dests": dests, "hosts": hosts}
 
     def on_learned(self, facts: dict[str, Any]) -> None:
-        """Go on where another process of this relay left off. What it says of hosts unknown to us is moot."""
+        """Go on where another process of this relay left off, perhaps of another version: what it says of
+        hosts or of facts unknown to us is moot."""
+        facts_known = {f.name for f in fields(Destination)} - set(NOT_LEARNED) | set(LEARNED_SPANS)
         self.started = min(self.started or self.now, facts["started"] or self.now)
         for name, known in facts["dests"].items():
             if name in self.hosts:
                 dest = self.hosts[name][0]
-                for field_name, value in known.items():
-                    setattr(dest, field_name, list(value) if field_name in LEARNED_SPANS else value)
+                for fact in facts_known & known.keys():
+                    value = known[fact]
+                    setattr(dest, fact, list(value) if fact in LEARNED_SPANS else value)
         for name, values in facts["hosts"].items():
             if name in self.hosts:
-                host = self.hosts[name][1]
-                host.last_sent, host.gap, host.last_ok_sent, host.bad, host.retry_at = values
+                for fact, value in zip(LEARNED_OF_HOSTS, values, strict=False):  # a later one adds to the end
+                    setattr(self.hosts[name][1], fact, value)
 
     def on_overheard(self, o: Overheard) -> None:
         if o.host in self.hosts:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -189,3 +189,21 @@
     assert old.pacer.clear_to_send(old.now, send.call, "a")
     old.turn(io.Stopping(old.now, old.now), old.message())
     assert not old.sends() and not old.pacer.clear_to_send(old.now, send.call, "a")
+
+
+def test_what_another_version_learned_is_taken_as_far_as_it_is_known() -> None:
+    """An upgrade's two processes may differ in what they keep: no fact more or less ends a turn in an
+    error."""
+    old, new = Relay(entry("a")), Relay(entry("a"))
+    old.turn(old.message())
+    old.turn(old.verdict("m1", io.Status.FULL, wait=5 * S))
+    facts = json.loads(json.dumps(old.pacer.learned()))
+    facts["dests"]["a"] |= {"weather": 3, "hosts": ["b"], "calls": [1]}
+    del facts["dests"]["a"]["mean"]
+    facts["hosts"]["a"].append("later")
+    new.turn(io.Learned(facts))
+    facts["hosts"]["a"] = facts["hosts"]["a"][:2]
+    new.turn(io.Learned(facts))
+    (dest,) = new.pacer.routes[1]
+    assert dest.wait_until == old.pacer.routes[1][0].wait_until
+    assert [host.name for host in dest.hosts] == ["a"] and not dest.calls and not hasattr(dest, "weather")
