Ramp also where one bad outcome was all that a relay saw of an outage

Cause: Pacer.judge began a ramp only where `dest.out` had been set, which takes two bad outcomes in a row (bad > 0.5). A relay with few calls for a partner makes one call in an outage, is told of its failure (bad 0.3), and the next is answered: bad 0.21 is under SUSPECT, no ramp, and all that waits goes at once. Seen in plays of 30 Pacers at a partner of 8 calls a second (trace: CONNECT_FAILED 3.9 s before the return, trial 2.8 s after it, three more calls in the same turn; 37 calls in a span that allows 15.0 + 2 sqrt(15.0) + 2 = 24.7, 95% from relays that had been told).

Change: a good answer behind trouble, with no other good one for `fall` before it, begins the ramp as well.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -621,7 +621,7 @@
         for one in (dest, host):
             one.bad += BAD_WEIGHT * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
-        if good and was and not dest.out:
+        if good and not dest.out and (was or self.may_be_back(dest)):
             # Nobody saw it come back: half of the time since the last failure, in the mean.
             dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
             dest.next_at = self.next_cold(dest, self.now, self.random.random())
@@ -637,6 +637,12 @@
             if dest.out and not was:
                 self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
 
+    def may_be_back(self, dest: Destination) -> bool:
+        """Whether an outage may lie behind this good answer: trouble, and none for ``fall`` before. A relay
+        that has few calls for a destination sees no more of an outage than one bad outcome."""
+        return (dest.bad_from is not None and dest.bad_at > (dest.ramp_from or 0) and not self.is_cold(dest)
+                and (len(dest.served) < 2 or self.now - dest.served[-2] > self.settings.rules.fall))
+
     def is_cold(self, dest: Destination) -> bool:
         """On the ramp after an outage."""
         return dest.ramp_from is not None and self.now < dest.ramp_from + self.settings.rules.ramp_time
