Ramp behind one bad outcome only where a relay can see no more of an outage

Change: only where a relay's part of what is listed is less than a call in the time of a fall, or unknown.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -688,9 +688,11 @@
 
     def may_be_back(self, dest: Destination) -> bool:
         """Whether an outage may lie behind this good answer: trouble, and none for ``fall`` before. A relay
-        that has few calls for a destination sees no more of an outage than one bad outcome."""
-        return (dest.bad_from is not None and dest.bad_at > (dest.ramp_from or 0) and not self.is_cold(dest)
-                and (len(dest.served) < 2 or self.now - dest.served[-2] > self.settings.rules.fall))
+        whose part is less than a call in that time, or unknown, sees no more of one than a bad outcome."""
+        fall = self.settings.rules.fall
+        return (not 0 < self.turn(dest) <= fall and dest.bad_from is not None
+                and dest.bad_at > (dest.ramp_from or 0) and not self.is_cold(dest)
+                and (len(dest.served) < 2 or self.now - dest.served[-2] > fall))
 
     def is_cold(self, dest: Destination) -> bool:
         """On the ramp after an outage."""
