Keep the ramp until the latest moment at which a partner may still be cold

Cause: `judge` takes a partner to be back since half of the time from the last failure to the first good answer, which holds in the mean, and `is_cold` ended the ramp by that: up to half of a trial's gap too early. From then on nothing paced what had waited. Seen in a play of 2 Pacers at 8 calls a second (503 for 8 s): trials 2.9 s apart, ramp dated 0.84 s too early, cold until 9.16 s after the return, then 56 calls of one relay in 2 s; 78 in a span that allows 27.7 + 2 sqrt(27.7) + 2 = 40.2.

Change: the pace grows as before, and full pace holds until a whole ramp after the first good answer.

The new test fails without the change.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -99,7 +99,8 @@
     bad_from: int | None = None  # first bad outcome since it was well
     bad_at: int = 0  # the latest
     out: bool = False  # half open: one trial at a time
-    ramp_from: int | None = None  # when it came back
+    ramp_from: int | None = None  # when it came back, in the mean
+    warm_at: int = 0  # the end of the ramp, if it came back as late as it can have
     part: float = 0.0  # calls a second of this relay's part of what it takes when warm
     next_at: int = 0  # trial while in trouble, spacing on the ramp
     refusals: deque[int] = field(default_factory=deque)
@@ -585,6 +586,7 @@
         if wait > CUT_SPAN:
             self.size_up(dest, dest.refused_from)
             dest.bad_at = dest.ramp_from = self.now + wait
+            dest.warm_at = dest.ramp_from + self.settings.rules.ramp_time
             dest.next_at = self.next_cold(dest, dest.ramp_from, self.random.random())
         lasts = 0 if self.turn(dest) > CUT_SPAN else CUT_SPAN - wait  # where turns are rare, two in a row
         if wait <= CUT_SPAN and (left is None or left > HALF_LEFT) and self.now - dest.refused_from > lasts:
@@ -624,6 +626,7 @@
         if good and not dest.out and (was or self.may_be_back(dest)):
             # Nobody saw it come back: half of the time since the last failure, in the mean.
             dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
+            dest.warm_at = self.now + self.settings.rules.ramp_time
             dest.next_at = self.next_cold(dest, self.now, self.random.random())
             self.log(f"back dest={dest.number} host={host.name}")
         elif good and not dest.out and not self.is_cold(dest):
@@ -645,7 +648,7 @@
 
     def is_cold(self, dest: Destination) -> bool:
         """On the ramp after an outage."""
-        return dest.ramp_from is not None and self.now < dest.ramp_from + self.settings.rules.ramp_time
+        return dest.ramp_from is not None and self.now < dest.warm_at
 
     def next_cold(self, dest: Destination, start: int, calls: float) -> int:
         """Rule 4: when this relay's part of what a destination may get, in trouble or on the ramp, has grown
@@ -659,6 +662,8 @@
             return start + round(calls / (pace * rules.start_capacity))
         grows = pace * (1 - rules.start_capacity) / max(1, rules.ramp_time)
         first = pace * rules.start_capacity + grows * max(0, start - dest.ramp_from)
+        if first >= pace:
+            return start + round(calls / pace)
         return start + round(2 * calls / (first + math.sqrt(first * first + 2 * grows * calls)))
 
     def late_after(self, dest: Destination) -> int:
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -39,3 +39,23 @@
         relay.turn(relay.message(), after=50 * MS)
         ended(relay, io.Status.OK, after=50 * MS)
     assert not relay.pacer.is_cold(relay.pacer.routes[1][0])
+
+
+def test_ramp_lasts_as_long_as_the_partner_may_be_cold() -> None:
+    """It came back at any moment between the last failure and the answer: in the mean in the middle, but it
+    may be cold for a whole ramp from the answer on. Until then what waits does not go at once."""
+    relay = Relay(entry("a", rate=8.0), listed_rates=True)
+    relay.turn(relay.message(), relay.message())
+    ended(relay, io.Status.ERROR, after=100 * MS)
+    assert relay.pacer.routes[1][0].out
+    relay.turn(*[relay.message() for _ in range(60)], after=4 * S)
+    ended(relay, io.Status.OK, after=100 * MS)
+    back, rules = relay.now, relay.settings.rules
+    sent: list[int] = []
+    while relay.now < back + rules.ramp_time - 100 * MS:
+        relay.turn(relay.message(), relay.message(), after=50 * MS)
+        sent += [relay.now] * len(relay.sends())
+        ended(relay, io.Status.OK, after=10 * MS)
+        sent += [relay.now] * len(relay.sends())
+    most = rules.fall_multiple * 8.0 / relay.settings.relays * rules.fall / S  # calls in a span, warm
+    assert max(sum(first <= at < first + rules.fall for at in sent) for first in sent) <= most + 1
