Ramp behind refusals that no limit explains, where few calls are all a relay sees

Cause: a shut partner answers 503 and tells no wait. `on_refused` takes that for trouble only after 2 s of refusals; a relay refused once or twice in an outage, or restarted in the middle of it, knew of nothing and sent all that it held at the first good answer. Messages that a restart finds untried add to it: the backlog is there at once.

Change: a refusal with no wait told and no spent limit reported counts as trouble for `may_be_back` (a good answer with none for `fall` before begins the ramp). It is no bad outcome: nothing else changes.

A partner that answers 503 at its limit is ramped too where a relay's calls are further than `fall` apart: to be watched there. The test of it fails without the change.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -588,6 +588,9 @@
             dest.bad_at = dest.ramp_from = self.now + wait
             dest.warm_at = dest.ramp_from + self.settings.rules.ramp_time
             dest.next_at = self.next_cold(dest, dest.ramp_from, self.random.random())
+        if not wait and (left is None or left > HALF_LEFT):  # shut, perhaps: see may_be_back
+            self.size_up(dest, dest.refused_from)
+            dest.bad_at = self.now
         lasts = 0 if self.turn(dest) > CUT_SPAN else CUT_SPAN - wait  # where turns are rare, two in a row
         if wait <= CUT_SPAN and (left is None or left > HALF_LEFT) and self.now - dest.refused_from > lasts:
             self.judge(dest, call.host, False)
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -59,3 +59,24 @@
         sent += [relay.now] * len(relay.sends())
     most = rules.fall_multiple * 8.0 / relay.settings.relays * rules.fall / S  # calls in a span, warm
     assert max(sum(first <= at < first + rules.fall for at in sent) for first in sent) <= most + 1
+
+
+def refused_then_answered(wait: int, report: io.Report | None) -> Relay:
+    """One refusal, all that a relay with few calls sees of it, and 4 s later a good answer."""
+    relay = Relay(entry("a"), relays=30)
+    relay.serve(2)
+    relay.turn(relay.message(), after=4 * S)
+    relay.turn(relay.verdict(relay.sends()[0].call, io.Status.FULL, wait, report=report), after=100 * MS)
+    relay.turn(relay.message(), after=4 * S)
+    ended(relay, io.Status.OK, after=100 * MS)
+    return relay
+
+
+def test_refusal_that_no_limit_explains_may_be_a_shut_partner() -> None:
+    assert (relay := refused_then_answered(0, None)).pacer.is_cold(relay.pacer.routes[1][0])
+
+
+@pytest.mark.parametrize(("wait", "report"), [(500 * MS, None), (0, io.Report(0.0, 5.0))])
+def test_refusal_that_a_limit_explains_is_no_outage(wait: int, report: io.Report | None) -> None:
+    relay = refused_then_answered(wait, report)
+    assert not relay.pacer.is_cold(relay.pacer.routes[1][0])
