--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -630,7 +630,7 @@
             # Nobody saw it come back: half of the time since the last failure, in the mean.
             dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
             dest.warm_at = self.now + self.settings.rules.ramp_time
-            dest.next_at = self.next_cold(dest, self.now, self.random.random())
+            dest.next_at = self.next_cold(dest, self.now, 1.0)  # the trial was a call of the ramp
             self.log(f"back dest={dest.number} host={host.name}")
         elif good and not dest.out and not self.is_cold(dest):
             dest.bad_from = None
