Play whole fleets at one partner that goes down and comes back cold

2, 6, 20 and 30 Pacers, each with its own seed, the clock in the test; 200 outages a size. A partner falls where a span of `fall` since its return brings more than N + 2 sqrt(N) + 2 calls and probes. The share of outages with a fall is held under a 95% bound: 6% in all, 4% for falls of which over two thirds came from relays told.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -96,10 +96,10 @@
 class Relay:
     """Drives one Pacer and keeps what it did."""
 
-    def __init__(self, *entries: io.HostEntry, seed: int = 7, **changes: Any) -> None:
+    def __init__(self, *entries: io.HostEntry, seed: int = 7, at: int = 1000 * S, **changes: Any) -> None:
         self.settings = settings(**changes)
         self.pacer = Pacer(self.settings, seed)
-        self.now = 1000 * S
+        self.now = at
         self.count = 0
         self.attempts: dict[str, int] = {}
         self.where: dict[str, str] = {}
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from starlingwick import interface as io
-from tests.helpers import MS, Relay, S, entry
+from tests.fleet import OUTAGES, Play
+from tests.helpers import KEYED, MS, SAFE, UNSAFE, Relay, S, entry
 
 
 def ended(relay: Relay, status: io.Status, after: int) -> None:
@@ -99,3 +102,33 @@
         grown = (1 - rules.start_capacity) * (relay.now - dest.ramp_from) / rules.ramp_time
         part = rules.fall_multiple * 2.0 / relay.settings.relays * (rules.start_capacity + grown)
         assert part * (relay.now - back) / S >= 1.0, seed
+
+
+def upper_bound(bad: int, plays: int) -> float:
+    """The share of all plays that goes bad is under this, with 95% confidence (Clopper and Pearson)."""
+    low, high = 0.0, 1.0
+    for _ in range(40):
+        p = (low + high) / 2
+        at_most = sum(math.comb(plays, k) * p**k * (1 - p) ** (plays - k) for k in range(bad + 1))
+        low, high = (p, high) if at_most > 0.05 else (low, p)
+    return high
+
+
+@pytest.mark.parametrize("relays", [2, 6, 20, 30])
+def test_cold_partner_keeps_standing_under_the_sum_of_a_fleet(relays: int) -> None:
+    """In 200 outages (five kinds, four capacities, with and without listed rates, all classes, uneven
+    traffic) the share of those in which some span of ``fall`` brings more than N + 2 sqrt(N) + 2 calls and
+    probes is under 6%, and of those where over two thirds of them came from relays told of the outage under
+    4%, both with 95% confidence."""
+    over = told = plays = 0
+    for seed in range(5):
+        for number, outage in enumerate(OUTAGES):
+            for capacity in (0.5, 2.0, 8.0, 30.0):
+                for listed in (None, capacity):
+                    klass = (SAFE, KEYED, UNSAFE)[(seed + number) % 3]
+                    play = Play(relays, seed, capacity, outage, listed=listed, klass=klass).run()
+                    falls = [share for excess, *_, share in play.excess() if excess > 0]
+                    plays += 1
+                    over += bool(falls)
+                    told += bool(falls) and falls[0] > 2 / 3
+    assert upper_bound(over, plays) < 0.06 and upper_bound(told, plays) < 0.04, (over, told, plays)
