Let a stand-in that stops take in what it has just accepted first

Shown by a probe: connect, 0 to 6 turns, `stop`, close the loop, collect: 3 and 4 turns gave the warning each time, the others none.

Change: `stop` lets the loop turn four times after it closes the listener; then it aborts and waits as before. The probe then gives none at 0 to 6.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -14,6 +14,7 @@
 from garnetrelay.config import Config, load
 from garnetrelay.relay import Relay
 
+ACCEPTED = 4  # turns of the loop from a connection's accept to the start of the task that serves it
 PATIENCE = 20.0  # seconds after which a test that waits in vain has failed
 
 FACTS: dict[str, Any] = {
@@ -79,6 +80,8 @@
     async def stop(self) -> None:
         if self.server is not None:
             self.server.close()
+        for _ in range(ACCEPTED):
+            await asyncio.sleep(0)
         for writer in self.writers:
             writer.transport.abort()
         await asyncio.gather(*self.tasks, return_exceptions=True)
