--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,172 @@
+"""Lines through points, and one size of each measurement; no figure of a machine is asserted."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+from pathlib import Path
+from typing import Any
+
+import pytest
+import typer
+from hypothesis import given
+from hypothesis import strategies as st
+from typer.testing import CliRunner
+
+from fleetlab import capacity, fit, slopes
+
+ROOT = Path(__file__).parent.parent
+KEPT = sorted((ROOT / "docs" / "capacity").glob("*.json"))
+
+
+@given(st.floats(-1e3, 1e3), st.floats(-1e3, 1e3),
+       st.lists(st.integers(0, 10**6), min_size=fit.FEWEST, max_size=20, unique=True))
+def test_points_of_a_line_give_that_line(slope: float, intercept: float, sizes: list[int]) -> None:
+    values = [intercept + slope * size for size in sizes]
+    found = fit.line(sizes, values)
+    most = max(map(abs, values))
+    assert all(found.at(size) == pytest.approx(value, abs=1e-6 * most + 1e-9)
+               for size, value in zip(sizes, values, strict=True))
+    assert found.residual < 1e-6 and (found.smallest, found.largest) == (min(sizes), max(sizes))
+
+
+def test_residual_is_the_largest_distance_as_a_share_of_the_largest_value() -> None:
+    found = fit.line([0, 1, 2, 3], [0.0, 2.0, 0.0, 2.0])  # 0.4 + 0.4 x: distances 0.4, 1.2, 1.2 and 0.4
+    assert found.slope == pytest.approx(0.4) and found.intercept == pytest.approx(0.4)
+    assert found.residual == pytest.approx(0.6) and found.r2 == pytest.approx(0.2)
+    assert found.beyond(12) == 4 and found.beyond(2) == 1
+
+
+@pytest.mark.parametrize(("sizes", "values"), [
+    ([1, 2, 3], [1, 2, 3]), ([1, 1, 2, 3], [1, 1, 2, 3]), ([1, 2, 3, 4], [1, 2, 3]),
+    ([1, 2, 3, 4], [1, 2, 3, float("nan")]),
+], ids=["three", "three different", "unequal", "not finite"])
+def test_what_gives_no_line_is_an_error(sizes: list[float], values: list[float]) -> None:
+    with pytest.raises(ValueError):
+        fit.line(sizes, values)
+
+
+def test_every_measurement_has_four_sizes_at_least() -> None:
+    assert all(len(set(one.sizes)) >= fit.FEWEST for one in slopes.MEASUREMENTS.values())
+
+
+def test_size_that_was_not_reached_is_no_point_of_the_line() -> None:
+    points: list[dict[str, Any]] = [{"size": n, "figures": {"a": 2.0 * n, "b": None if n == 8 else 1.0}}
+                                    for n in (1, 2, 4, 8)]
+    lines = slopes.lines_through(points)
+    assert set(lines) == {"a"} and lines["a"]["slope"] == pytest.approx(2)
+    assert slopes.summary([{"a": 3.0}, {"a": None}], mean=False) == {"a": None}
+    assert slopes.summary([{"a": 3.0}, {"a": 1.0}], mean=False) == {"a": 1.0}
+    assert slopes.summary([{"a": 3.0}, {"a": 1.0}], mean=True) == {"a": 2.0}
+
+
+@pytest.mark.parametrize(("name", "size"), [
+    ("state", 40), ("turn", 100), ("down", 3), ("down-silent", 3), ("journal", 200),
+])
+def test_measurement_without_sockets_gives_all_its_figures(name: str, size: int) -> None:
+    figures = slopes.measure(name, size, seed=1)
+    assert figures and all(value is not None and value >= 0 for value in figures.values())
+
+
+def test_destination_that_is_down_is_called_and_served_again_once_it_is_back() -> None:
+    fleet = slopes.Fleet(4, seed=1, silent=False)
+    fleet.run(20 * slopes.SECOND)
+    assert fleet.ended == 0 and fleet.within(10 * slopes.SECOND, 20 * slopes.SECOND) > 40
+    fleet.down = True
+    fleet.run(80 * slopes.SECOND)
+    assert fleet.ended > 0
+    fleet.down, before = False, fleet.ended
+    fleet.run(200 * slopes.SECOND)
+    fleet.ended = 0
+    fleet.run(220 * slopes.SECOND)
+    assert before and fleet.ended == 0
+
+
+@pytest.mark.parametrize(("name", "size", "reached"), [
+    ("list-watch", 40, "wall_in_force_s"), ("list-again", 40, "wall_in_force_s"),
+    ("restart", 20, "wall_ready_s"), ("held", 50, "message_ms"),
+    ("rate", 20, "delivered_a_second"), ("changes", 20, "bytes_a_second"),
+    ("come-back-in-turn", 2, "wall_list_s"),
+])
+def test_measurement_of_a_real_relay_reaches_its_end(
+        monkeypatch: pytest.MonkeyPatch, name: str, size: int, reached: str) -> None:
+    """Started as deployed: what the deploy file builds must be there."""
+    monkeypatch.setattr(slopes, "LOOK", 0.2)
+    monkeypatch.setattr(slopes, "SETTLE", 0.1)
+    figures = slopes.measure(name, size, seed=1)
+    assert figures[reached] is not None
+
+
+def test_list_that_a_relay_cannot_take_is_not_reached(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(slopes, "LIST_WITHIN", 0.5)
+    monkeypatch.setattr(slopes, "endpoints", lambda size, seed, each: [])
+    assert slopes.measure("list-watch", 20, seed=1)["wall_in_force_s"] is None
+
+
+def test_command_keeps_what_it_measured_and_names_what_it_does_not_know(
+        monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    async def twice(size: int, seed: int, folder: Path) -> slopes.Figures:
+        """Twice the size."""
+        if size == 3:
+            raise RuntimeError
+        return {"doubled_s": 2.0 * size}
+
+    monkeypatch.setitem(slopes.MEASUREMENTS, "twice", slopes.Measurement(twice, "sizes", (1, 2, 3, 4, 5), 2))
+
+    def here(name: str, size: int, seed: int) -> slopes.Figures:
+        if size == 3:
+            raise subprocess.CalledProcessError(1, name)
+        return slopes.measure(name, size, seed)
+
+    monkeypatch.setattr(slopes, "in_a_process", here)
+    file = tmp_path / "kept.json"
+    app = typer.Typer()
+    app.command()(slopes.slopes)
+    done = CliRunner().invoke(app, ["twice", "--seed", "5", "--json", str(file)])
+    assert done.exit_code == 0, done.output
+    kept = json.loads(file.read_text())["twice"]
+    assert kept["fits"]["doubled_s"]["slope"] == pytest.approx(2) and kept["seed"] == 5
+    assert [point["failed"] for point in kept["points"]] == ["", "", "exit status 1", "", ""]
+    assert "| 3 | failed |" in done.output and "| 4 | 8 |" in done.output
+    assert CliRunner().invoke(app, ["thrice"]).exit_code == 2
+
+
+def test_kept_lines_are_those_of_the_kept_points() -> None:
+    for name, result in [item for file in KEPT for item in json.loads(file.read_text()).items()]:
+        one = slopes.MEASUREMENTS[name]
+        for point in result["points"]:
+            if point["repeats"]:
+                assert point["figures"] == slopes.summary(point["repeats"], one.mean), (name, point["size"])
+        again = slopes.lines_through(result["points"])
+        assert again.keys() == result["fits"].keys()
+        for key, line in again.items():
+            assert line == pytest.approx(result["fits"][key], rel=1e-6, abs=1e-9), (name, key)
+
+
+def test_page_has_the_tables_of_the_kept_runs() -> None:
+    """What the page says at the target is what its runs gave."""
+    page = (ROOT / "docs" / "CAPACITY.md").read_text()
+    before, *after = (json.loads(file.read_text()) for file in sorted(KEPT, reverse=True))
+    assert capacity.filled(page, before, after[0] if after else {}) == page
+    assert "machine" in page
+
+
+def test_figure_at_the_target_is_times_the_line_and_says_how_far_it_was_drawn() -> None:
+    points: list[dict[str, Any]] = [{"size": n, "figures": {"a_s": 3.0 * n}} for n in (1, 2, 4, 8)]
+    results: slopes.Results = {"one": {"points": points, "fits": slopes.lines_through(points)}}
+    row = capacity.Row("relay", "what", "one", "a_s", 80, "s", times=2, limit=48, limit_is="48 s")
+    found = capacity.at_target(row, results)
+    assert found is not None and found[0] == pytest.approx(480) and found[2] == pytest.approx(10)
+    text = capacity.rows_table((row,), results, {})
+    assert "**missing, by 10**" in text and "| by 10 |" in text and "not measured" in text
+    measured = capacity.at_target(capacity.Row("relay", "what", "one", "a_s", 8, "s"), results)
+    assert measured is not None and (measured[0], measured[2]) == (24.0, 1.0)
+
+
+def test_page_without_a_mark_is_an_error() -> None:
+    result = {"points": [], "fits": {}, "unit": "x", "what": "", "counts": "least", "seed": 1, "machine": {
+        "processor": "", "cores": 1, "python": "", "kernel": "", "load": 0, "load_at_end": 0, "commit": "",
+        "changed": False, "started": ""}}
+    result["points"] = [{"size": 1, "figures": {}, "repeats": []}]
+    with pytest.raises(ValueError, match="no mark"):
+        capacity.filled("", {"one": result}, {})
