Play a fleet with one command: real and hollow relays, their partners, restarts and changes

Cause: nothing in the project showed what many relays do to destinations and to discovery, or to messages when relays are restarted among them. Change: python -m fleetlab plays a seeded plan: clients over RESP2 in an open loop, one to a few real relays by the deploy file's run, hollow relays that share a process and decide by a Pacer each, outages, changes and restarts; it judges every message by counting, and writes each figure with its unit.

--- /dev/null
+++ b/fleetlab/__main__.py
@@ -0,0 +1,8 @@
+"""``python -m fleetlab``."""
+
+import sys
+
+from fleetlab.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -4,19 +4,29 @@
 
 import asyncio
 import json
+import signal
+import subprocess
+import sys
 from collections.abc import AsyncIterator
+from pathlib import Path
 from typing import Any
 
 import aiohttp
+import hiredis
 import numpy as np
+import psutil
 import pytest
 import pytest_asyncio
 
 from fleetlab.agent import Agent
-from fleetlab.endpoints import Partner, Verdict, allowed_when_cold
+from fleetlab.cli import main
+from fleetlab.clients import read_answer
+from fleetlab.endpoints import Endpoints, Partner, Verdict, allowed_when_cold
 from fleetlab.fleet import Destination, Fleet, OutageKind, Plan, list_line
+from fleetlab.ledger import End, Entry, Ledger, Message, Rule, State
 from garnetrelay.discovery import Lines
 from starlingwick.settings import parse_settings
+from tests.processes import ROOT
 from tests.sockets import PATIENCE
 
 
@@ -131,3 +141,184 @@
         calls += 1
     assert not it.fallen and calls > 100
     assert it.capacity(125) == 20.0
+
+
+async def test_an_endpoint_refuses_in_an_outage_and_is_back_at_its_address() -> None:
+    fleet = Fleet(Plan(destinations=1, endpoints_each=1, down=0))
+    dest, name = fleet.destinations[0], fleet.destinations[0].endpoints[0].name
+    endpoints = Endpoints(Ledger(), fleet.seeds("endpoints", 1))
+    await endpoints.open(dest)
+    url = f"http://{endpoints.addresses[name]}/-/healthy"
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as answer:
+            assert answer.status == 200
+        endpoints.go_down(0, OutageKind.REFUSED, 0.0)
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await session.get(url)
+        await endpoints.come_back(0, 0.0)
+        async with session.get(url) as answer:
+            assert answer.status in (200, 503)
+        endpoints.remove(name)
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await session.get(url)
+    assert endpoints.probes == 2
+    await endpoints.close()
+
+
+async def test_an_endpoint_notes_a_second_attempt_while_one_is_out() -> None:
+    fleet = Fleet(Plan(destinations=2, endpoints_each=1, down=0))
+    ledger = Ledger()
+    endpoints = Endpoints(ledger, fleet.seeds("endpoints", 2))
+    for dest in fleet.drawn:
+        await endpoints.open(dest)
+    entry = taken(ledger)
+    headers = {"X-Request-ID": entry.ref, "Idempotency-Key": "key"}
+    first = f"http://{endpoints.addresses[fleet.destinations[0].endpoints[0].name]}/hook"
+    other = f"http://{endpoints.addresses[fleet.destinations[1].endpoints[0].name]}/hook"
+    async with aiohttp.ClientSession() as session:
+        async with session.post(first, data=b"body", headers=headers) as answer:
+            assert answer.status == 200
+        assert entry.end is End.DELIVERED and not ledger.broken
+        endpoints.go_down(0, OutageKind.SILENT, 0.0)
+        out = asyncio.create_task(session.post(first, data=b"body", headers=headers))
+        async with asyncio.timeout(PATIENCE):
+            while entry.attempts < 2:
+                await asyncio.sleep(0.01)
+        async with session.post(other, data=b"another", headers=headers):
+            pass
+        assert ledger.broken == {Rule.TWO_OUT: 1, Rule.FOREIGN: 1, Rule.ALTERED: 1}
+        out.cancel()
+        await asyncio.gather(out, return_exceptions=True)
+        async with asyncio.timeout(PATIENCE):  # the client has given that call up: the next one is alone
+            while entry.out:
+                await asyncio.sleep(0.01)
+        async with session.post(first.replace("/hook", "/other"), data=b"body", headers=headers) as answer:
+            assert answer.status == 404
+        async with session.post(other, data=b"x", headers={"X-Request-ID": "nobody's"}) as answer:
+            assert answer.status == 400
+        assert ledger.broken[Rule.TWO_OUT] == 1 and ledger.broken[Rule.UNKNOWN] == 1
+    await endpoints.close()
+
+
+def taken(ledger: Ledger, due: float = 1e12) -> Entry:
+    """A message that a relay has just taken on, for destination 0."""
+    entry = Entry("ref", "n0", b"body", Message(0, 0, "key", 0.0, due))
+    ledger.offered()
+    ledger.handed_in(entry)
+    ledger.answered(entry, State.TAKEN, 0.001, 0.0)
+    return entry
+
+
+def test_a_message_without_an_end_is_lost() -> None:
+    ledger = Ledger()
+    taken(ledger, due=10.0)
+    ledger.sweep(9.0)
+    assert not ledger.broken and ledger.open == 1
+    ledger.sweep(11.0)
+    assert ledger.broken == {Rule.LOST: 1} and ledger.open == 0
+
+
+@pytest.mark.parametrize("result", ["dead", "bounced"])
+def test_a_notice_ends_a_message_once(result: str) -> None:
+    ledger = Ledger()
+    asked: list[int] = []
+    entry = taken(ledger, due=10.0)
+    entry.on_bounce = asked.append
+    ledger.notice("ref", result, 300, 5.0)
+    ledger.notice("ref", result, 300, 5.1)
+    ledger.notice("another", result, 0, 5.1)
+    assert (ledger.counts.dead, ledger.counts.bounced) == ((1, 0) if result == "dead" else (0, 1))
+    assert asked == ([] if result == "dead" else [300])
+    ledger.call(entry, 0, "key", b"body", 6.0)
+    assert ledger.broken == {Rule.AFTER_END: 1}
+    ledger.sweep(1e13)
+    assert Rule.LOST not in ledger.broken
+
+
+def test_a_delivery_counts_once_its_client_has_heard() -> None:
+    ledger = Ledger()
+    entry = Entry("ref", "n0", b"body", Message(0, 0, "key", 0.0, 10.0))
+    ledger.handed_in(entry)
+    ledger.call(entry, 0, "key", b"body", 1.0)
+    ledger.written(entry, 1.5)
+    assert ledger.counts.delivered == 0
+    ledger.answered(entry, State.TAKEN, 0.1, 1.6)
+    assert ledger.counts.delivered == 1 and ledger.open == 0
+    ledger.written(entry, 1.7)
+    assert (ledger.counts.delivered, ledger.counts.repeats) == (1, 1)
+
+
+def test_more_attempts_than_allowed_are_counted() -> None:
+    ledger = Ledger()
+    entry = taken(ledger)
+    for _ in range(14):
+        ledger.call(entry, 0, "key", b"body", 1.0)
+    assert ledger.broken == {Rule.TOO_MANY: 2}
+
+
+@pytest.mark.parametrize("reply, meaning", [
+    (b"+OK\r\n", (State.TAKEN, 0)), (b"$2\r\nOK\r\n", (State.TAKEN, 0)),
+    (b"-BUSY\r\n", (State.REFUSED, 0)),
+    (b"-BUSY 250\r\n", (State.REFUSED, 250)), (b"-ERR no\r\n", (State.FAILED, 0)), (b":1\r\n", (State.FAILED, 0)),
+])
+def test_a_client_reads_an_answer(reply: bytes, meaning: tuple[State, int]) -> None:
+    reader = hiredis.Reader()
+    reader.feed(reply)
+    assert read_answer(reader.gets()) == meaning
+
+
+@pytest.mark.parametrize("words", [
+    ["--rate", "many"], ["--rate", "-1"], ["--nothing", "1"], ["nothing"], ["--logs", "full"],
+    ["--config", "missing.toml"], ["--config", "bad.toml"], ["--config", "unknown.toml"],
+    ["--out", "missing/result.json"],
+])
+def test_bad_arguments_and_files_get_one_line(
+        words: list[str], tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str]) -> None:
+    monkeypatch.chdir(tmp_path)
+    Path("bad.toml").write_text("rate = \n")
+    Path("unknown.toml").write_text("rates = 3\n")
+    Path("full").mkdir()
+    Path("full", "file").touch()
+    assert main(words) == 2
+    out, err = capsys.readouterr()
+    assert not out and err.startswith("fleetlab: ") and err.count("\n") == 1
+
+
+RELAY = f"exec {sys.executable} -m garnetrelay"  # where 'build' has not run, the tests' own environment does
+SMALL = ["--command", RELAY, "--length", "5", "--deadline", "5", "--rate", "40", "--hollow", "10",
+         "--destinations", "12", "--outage", "2", "--down", "0.1", "--speedup", "400", "--restarts", "2",
+         "--hollow-restarts", "3"]
+
+
+def test_a_short_scale_run_keeps_every_rule_that_is_counted(tmp_path: Path) -> None:
+    out = tmp_path / "result.json"
+    assert main([*SMALL, "--seed", "3", "--out", str(out), "--quiet"]) == 0, out.read_text()
+    played = json.loads(out.read_text())
+    assert played["passed"] and not any(played["broken"].values())
+    assert played["seed"] == 3 and played["schema_version"] == 1 and len(played["relays"]) == 2
+    figures = played["figures"]
+    assert all(set(figure) == {"value", "unit"} and figure["unit"] for figure in figures.values())
+    for name in ("delivered", "hollow_delivered", "changes", "outages", "restarts", "hollow_restarts"):
+        assert figures[name]["value"] > 0, name
+    assert figures["taken"]["value"] + figures["refused"]["value"] + figures["abandoned"]["value"] + figures[
+        "failed"]["value"] == figures["handed_in"]["value"]
+    assert figures["delivered"]["value"] <= figures["offered"]["value"]
+    assert sum(relay["starts"]["value"] for relay in played["relays"].values()) == 4
+
+
+def test_an_interrupt_ends_it_and_leaves_nothing_running(tmp_path: Path) -> None:
+    out = tmp_path / "result.json"
+    with subprocess.Popen(
+            [sys.executable, "-m", "fleetlab", *SMALL, "--length", "600", "--out", str(out)], cwd=ROOT,
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True) as run:
+        try:
+            assert run.stdout is not None and "delivered" in run.stdout.readline()
+            started = psutil.Process(run.pid).children(recursive=True)
+            assert len(started) == 3
+            run.send_signal(signal.SIGINT)
+            assert run.wait(PATIENCE) == 130
+        finally:
+            run.kill()
+    assert not [process for process in started if process.is_running()]
+    assert json.loads(out.read_text())["interrupted"]
