Measure the list as the relay holds it now: packed, read as it comes, kept on the disk

Cause: reader and Pacer take a list in another form since the list is held packed; a list that is kept is written in slices with pauses, during which a relay looks idle. Change: fleetlab.slopes reads through Lines into a Catalog, introduces destinations as the relay does, and waits for the kept list. What the list takes on the disk is measured too.

--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -35,6 +35,7 @@
 from fleetlab import fit
 from fleetlab.agent import Agent, Told
 from garnetrelay import discovery
+from garnetrelay.catalog import Catalog
 from garnetrelay.journal import Entry, Journal
 from starlingwick import interface as io
 from starlingwick.control import Pacer
@@ -48,6 +49,8 @@
 RELAYS = 2_400  # of the target, as the settings have it
 TRAFFIC = 7.5  # messages a second for one destination, from all relays
 BODY = b"x" * 200
+MEMORY_MB = 8192  # that a relay is allowed: a limit must not end a measurement
+PIECE = 65_536  # bytes that a relay reads at a time
 IN_TURN = 0.13  # seconds that discovery takes for a call, where it works through them one by one
 READY_WITHIN = 120.0  # seconds for a relay to start in
 LIST_WITHIN = 20.0  # seconds for a watch to bring the whole list: what takes longer has failed
@@ -176,7 +179,7 @@
         config = folder / "config.json"
         config.write_text(json.dumps({
             "name": folder.name, "listen": f"127.0.0.1:{self.port}", "discovery": world.discovery,
-            "seed": "1", "limits": {"memory_mb": 8192, "sockets": 1024, "disk_mb": 4000},
+            "seed": "1", "limits": {"memory_mb": MEMORY_MB, "sockets": 1024, "disk_mb": 4000},
             "settings": facts(), "list": {"keep": True},
             "known": {"index": world.agent.index if known else 0, "snapshot": True, "endpoints": known}}))
         self.environment = {**os.environ, "RELAY_CONFIG": str(config), "RELAY_STATE": str(self.state)}
@@ -233,6 +236,19 @@
         await asyncio.sleep(seconds)
         return (self.processor() - before) / (time.monotonic() - start)
 
+    async def at_rest(self) -> float:
+        """Wait until its list is on the disk and it has nothing more to do; for ten looks at most each, as a
+        program may keep none. How much disk that list takes, 10^6 bytes."""
+        file = self.state / "list"
+        for _ in range(10):
+            await asyncio.sleep(SETTLE)
+            if file.exists():
+                break
+        for _ in range(10):
+            if await self.share(SETTLE) < AT_REST:
+                break
+        return file.stat().st_size / 1e6 if file.exists() else 0.0
+
     def stop(self) -> None:
         if self.child is not None:
             self.child.kill()
@@ -289,10 +305,11 @@
                     "list_mb": len(world.agent.whole()) / 1e6, "idle_share": None,
                     "watches_in_vain": world.told.watches}
         in_force, processor = time.monotonic() - one.started, one.processor()
-        await asyncio.sleep(SETTLE)
+        disk = await one.at_rest()
         resident, told = one.resident(), len(world.agent.whole()) / 1e6
         return {"resident_mb": resident, "peak_mb": one.resident(peak=True), "processor_s": processor,
-                "wall_in_force_s": in_force, "list_mb": told, "idle_share": await one.share()}
+                "processor_at_rest_s": one.processor(), "wall_in_force_s": in_force, "list_mb": told,
+                "disk_mb": disk, "idle_share": await one.share()}
 
 
 async def list_again(size: int, seed: int, folder: Path) -> Figures:
@@ -302,9 +319,7 @@
     async with relay(world, [], folder) as one:
         if not await one.in_force(await one.ready(), size - 1):
             return {"resident_mb": None, "processor_s": None, "wall_in_force_s": None, "told_mb": None}
-        await asyncio.sleep(SETTLE)
-        while await one.share(SETTLE) > AT_REST:
-            pass
+        await one.at_rest()
         one.stop()
         told = world.told.bytes
         one.start()
@@ -498,16 +513,19 @@
 
     zone_names = tuple(facts()["azs"])
     kind_names = ("m2",)
+    memory_bytes = MEMORY_MB * 1_000_000
 
 
 async def state(size: int, seed: int, folder: Path) -> Figures:
-    """The list read and taken over by reader and Pacer alone, with no limit on a line's length."""
-    text = listing(1, True, endpoints(size, seed))
-    at_start, start = resident_here(), time.process_time()
-    news = discovery.Reader(Names).read(discovery.Lines().feed(text))  # type: ignore[arg-type]
+    """The list read and taken over by reader, catalog and Pacer alone; then 2,000 messages at random."""
+    text = listing(1, True, endpoints(size, seed)) + b"\n"
+    at_start, start, catalog = resident_here(), time.process_time(), Catalog()
+    lines = discovery.Lines(discovery.Reader(Names, catalog.stage))  # type: ignore[arg-type]
+    (news,) = (news for at in range(0, len(text), PIECE) for news in lines.feed(text[at:at + PIECE]))
     read = time.process_time() - start
     pacer, start = Pacer(settings(), seed), time.process_time()
-    pacer.handle(0, [io.Roster(io.ListScope.WHOLE, news.entries)])
+    catalog.commit(news.staged, news.index, news.whole)
+    pacer.handle(0, [io.Roster(io.ListScope.WHOLE, ())])
     taken = time.process_time() - start
     kept = resident_here() - at_start
     out: list[io.Send] = []
@@ -515,7 +533,10 @@
     start = time.process_time()
     for i in range(events):  # 500 a second, each answered well 100 messages later
         now += SECOND // 500
-        batch: list[io.Event] = [io.Arrived(f"m{i}", 0, 0, draw.randrange(size), f"k{i}", 24 * SECOND)]
+        dest = draw.randrange(size)
+        batch: list[io.Event] = [io.Arrived(f"m{i}", 0, 0, dest, f"k{i}", 24 * SECOND)]
+        if dest not in pacer.introduced:
+            batch.insert(0, io.Introduced(dest, tuple(one.entry() for one in catalog.find(dest))))
         if len(out) > 100:
             sent = out.pop(0)
             batch.append(io.Verdict(sent.call, 0, sent.host, io.Status.OK, SECOND // 5, True, 0, False, None))
