--- a/fleetlab/fit.py
+++ b/fleetlab/fit.py
@@ -31,8 +31,8 @@
         return self.intercept + self.slope * size
 
     def beyond(self, size: float) -> float:
-        """By what factor this size lies beyond the largest measured one; 1 where it lies within."""
-        return max(1.0, size / self.largest)
+        """By what factor this size lies beyond the largest measured one, or below the smallest; 1 within."""
+        return max(1.0, size / self.largest, self.smallest / size)
 
 
 def line(sizes: Sequence[float], values: Sequence[float]) -> Fit:
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -4,6 +4,7 @@
 
 import json
 import subprocess
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -35,6 +36,7 @@
     assert found.slope == pytest.approx(0.4) and found.intercept == pytest.approx(0.4)
     assert found.residual == pytest.approx(0.6) and found.r2 == pytest.approx(0.2)
     assert found.beyond(12) == 4 and found.beyond(2) == 1
+    assert fit.line([2, 4, 6, 8], [1.0, 2.0, 3.0, 4.0]).beyond(0.5) == 4
 
 
 @pytest.mark.parametrize(("sizes", "values"), [
@@ -157,6 +159,10 @@
     row = capacity.Row("relay", "what", "one", "a_s", 80, "s", times=2, limit=48, limit_is="48 s")
     found = capacity.at_target(row, results)
     assert found is not None and found[0] == pytest.approx(480) and found[2] == pytest.approx(10)
+    points[0]["figures"]["a_s"] = 4.0  # no longer through 0
+    tilted: slopes.Results = {"one": {"points": points, "fits": slopes.lines_through(points)}}
+    alone = capacity.at_target(replace(row, size=16, times=1, alone=True), tilted)
+    assert alone is not None and alone[0] == pytest.approx(16 * tilted["one"]["fits"]["a_s"]["slope"])
     text = capacity.rows_table((row,), results, {})
     assert "**missing, by 10**" in text and "| by 10 |" in text and "not measured" in text
     measured = capacity.at_target(capacity.Row("relay", "what", "one", "a_s", 8, "s"), results)
