--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -26,8 +26,9 @@
 LOOK_AGAIN = 0.05  # seconds until what lies unread on an overdue connection has been looked at
 LINGER = 1.0  # seconds in which a client that is shut out may still read why
 MOST_SHUT_OUT = 16  # connections beyond the bound that may linger so: they are descriptors too
-BACKLOG = 512
-ACCEPTED_AT_ONCE = 8  # connections until their number is looked at again: each is a descriptor meanwhile
+MOST_REJECTED = 32  # requests in a row that can't be understood: no client sends so many
+BACKLOG = 512  # connections that may wait to be accepted
+ACCEPTED_AT_ONCE = 2  # in a turn of the loop: one that is shut out holds a descriptor for three turns
 ACCEPT_AGAIN = 0.1  # seconds without accepting where no descriptor is left
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
@@ -76,10 +77,14 @@
 
     def _set(self, data: bytes) -> None:
         self.data = data
-        self._connection.send_ready()
+        try:
+            self._connection.send_ready()
+        except Exception:  # whatever it is: the turn that answers has others to answer, and calls to send
+            log.exception("an answer cannot be written")
+            self._connection.drop()
 
 
-Handler = Callable[[Request, Reply], None]
+Handler = Callable[[Request, Reply], None]  # may raise Rejected
 
 
 def parse_enqueue(words: list[bytes]) -> Request:
@@ -147,6 +152,7 @@
         self.unread = bytearray()  # of a command that has not come whole
         self.more: bool = False  # of what has been read, a part has not been looked at
         self.replies: deque[Reply] = deque()
+        self.rejected = 0  # requests in a row that can't be understood
         self.lost: bool = False
         self.closing: bool = False
         self.transport: asyncio.Transport | None = None
@@ -252,9 +258,13 @@
                     reply.pong(words[1] if len(words) == 2 else None)
             else:
                 raise Rejected(f"unknown command '{words[0][:40].decode('ascii', 'replace')}'")
+            self.rejected = 0
         except Rejected as error:
             log.info("client request not understood: %s", error)
             reply.error(str(error))
+            self.rejected += 1
+            if self.rejected >= MOST_REJECTED:
+                self.fail("nothing but requests that make no sense")
 
     def send_ready(self) -> None:
         """Write the answers that are due, in the order of their requests."""
@@ -284,6 +294,10 @@
             else:
                 reply.error(text)
 
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
     def _linger(self) -> None:
         """End our side only. A close with its bytes unread would be a reset, and that takes back the error
         that we have just written. The transport itself waits for what is not written yet."""
@@ -453,6 +467,8 @@
     async def end(self) -> None:
         """The process ends: what has been answered still reaches its client."""
         for connection in list(self.connections):
+            if connection.unread:  # read in part: its client writes the rest, and waits
+                connection.fail("the process ends", busy=True)
             connection.closing = True
             connection.hang_up()
         if self.connections:
--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -18,7 +18,7 @@
 import h11
 
 from garnetrelay.catalog import Endpoint, Staged
-from garnetrelay.config import Address, Config
+from garnetrelay.config import Address, Config, load_known
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -26,6 +26,7 @@
 ANSWER_TIME = 2.0  # seconds to be taken up in; what a watch misses counts as told 6 s after it fell silent
 MOST_ANSWER_TIME = 5.0  # where that fails again and again: discovery may work through its calls in turn
 SILENCE = 3.0  # seconds without a line, of which one comes every 2: the watch is dead
+LEAST_RATE, MOST_RATE = 1e-6, 1e9  # calls a second that may be listed; whatever else is tells nothing
 MOST_KEPT = 64 * 1024  # bytes of an object that are kept until it is whole; a longer one is read as it comes
 MOST_ENTRY = 16 * 1024  # characters of one entry
 SPACE = re.compile(r"[ \t\r\n]*")
@@ -59,24 +60,27 @@
         self.stage = stage
 
     def read(self, raw: Any) -> News:
-        """Takes the entries out of an object, so that they make room for what they become. ValueError if it
-        can't be read: then nothing of it is taken over."""
+        """ValueError if it can't be read: then nothing of it is taken over."""
         staged = self.stage()
         try:
-            entries = raw["endpoints"]
-            entries.reverse()
-            while entries:
-                line = entries.pop()
-                self.add(staged, json.loads(line) if isinstance(line, bytes) else line)
-        except (KeyError, TypeError, AttributeError) as error:
+            for line in raw["endpoints"]:
+                self.add(staged, line)
+        except (KeyError, TypeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
         return self.news(raw, staged)
 
+    def read_known(self, config: Config) -> News:
+        """The list that the configuration names. ValueError if it can't be read."""
+        staged = self.stage()
+        facts = load_known(config, lambda line: self.add(staged, line))
+        if isinstance(facts, dict) and any(line is not None for line in facts.get("endpoints", ())):
+            raise ValueError("an entry without a group or an address")
+        return self.news(facts, staged)
+
     def news(self, facts: Any, staged: Staged) -> News:
         """What an object says beside its entries. ValueError if it can't be read."""
         try:
-            if "endpoints" not in facts:
-                raise KeyError("endpoints")
+            facts["endpoints"]  # an object without is no list
             return News(int(facts["index"]), bool(facts["snapshot"]), staged)
         except (KeyError, TypeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
@@ -88,13 +92,14 @@
                 raise ValueError(f"unknown status {line['status']!r}")
             availability = STATES[line["status"]]
             gone = availability is io.Availability.DELETED
+            rate = float(line.get("weight", 1.0))
             staged.add(Endpoint(
                 name=str(line["name"]),
                 dest=int(line["group"]),
                 zone=self.zones[line["zone"]] if self.zones else 0,
                 kind=self.kinds[line["type"]] if self.kinds else 0,
                 availability=availability,
-                rate=float(line.get("weight", 1.0)),
+                rate=rate if LEAST_RATE <= rate <= MOST_RATE else 0.0,
                 started=0 if gone else int(line.get("since_ms", 0)),
                 address=NOWHERE if gone else Address.parse(line["address"]),
             ))
@@ -115,6 +120,7 @@
         self.on_news = on_news
         self.failures = 0  # in a row: watches that were not taken up
         self.whole: bool = False  # ask for the whole list next: some of what came could not be read
+        self.kept: bool = False  # the version is one that the disk kept: discovery may not go on from there
         self.task: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
@@ -189,7 +195,9 @@
         its changes, so the whole list is asked for next."""
         try:
             for news in lines.feed(data):
-                self.whole = False
+                if self.kept and not news.whole and news.index < self.index:
+                    raise ValueError(f"changes up to version {news.index}; {self.index} is on the disk")
+                self.whole = self.kept = False
                 self.index = news.index
                 self.on_news(news)
         except ValueError:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 
 from garnetrelay import hosts as net
-from garnetrelay.catalog import Catalog, Endpoint, draining
-from garnetrelay.clients import Reply, Request, Server
+from garnetrelay.catalog import LONG, Catalog, Endpoint, draining, give_back
+from garnetrelay.clients import Rejected, Reply, Request, Server
 from garnetrelay.config import Address, Config
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
@@ -227,17 +227,19 @@
         """The list to start with: what the configuration names, or what an earlier life kept if that is
         newer."""
         try:
-            news = self.reader.read(self.config.known)
+            news = self.reader.read_known(self.config)
         except ValueError as error:
             log.warning("the list in the configuration can't be read, starting without one: %s", error)
             news = None
         if self.kept is not None and self.kept.load(self.catalog, -1 if news is None else news.index):
-            self.discovery.index = self.catalog.version
+            self.discovery.index, self.discovery.kept = self.catalog.version, True
         elif news is not None:
             self.discovery.index = news.index
             self.catalog.commit(news.staged, news.index, whole=True)
         else:
             return
+        if len(self.catalog) > LONG:
+            give_back()
         self.inbox.append(io.Roster(io.ListScope.CACHED, ()))
 
     def _recover(self, entries: list[Entry]) -> None:
@@ -371,9 +373,7 @@
             reply.busy(0)
             return
         if request.klass not in self.class_numbers:
-            reply.error(f"unknown class '{request.klass[:40]}'")
-            log.info("client request for an unknown class")
-            return
+            raise Rejected(f"unknown class '{request.klass[:40]}'")
         if not self.catalog.knows(request.dest):
             reply.error(f"unknown destination {request.dest}")
             log.info("client request for an unknown destination %d", request.dest)
@@ -381,9 +381,7 @@
         klass = self.settings.classes[self.class_numbers[request.klass]]
         if klass.repeat is io.Repeat.KEYED and request.key is None:
             # Without its key no host could drop a repeat.
-            reply.error("'k' is missing")
-            log.info("client request of a keyed class without a key")
-            return
+            raise Rejected("'k' is missing")
         if request.ref in self.held:
             reply.ok()  # it is taken on already
             return
@@ -413,6 +411,8 @@
             self._post(io.Roster(io.ListScope.FAILED, ()))
             return
         touched = self.catalog.commit(news.staged, news.index, news.whole)
+        if news.whole and len(self.catalog) > LONG:
+            give_back()
         if self.kept is not None and not self.passed_on:
             self.kept.keep(self.catalog, touched, news.whole)
         scope = io.ListScope.WHOLE if news.whole else io.ListScope.CHANGES
@@ -563,7 +563,7 @@
             message.exchange = None
             log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
             self.outcomes["stale" if outcome.stale else outcome.status.name.lower()] += 1
-            if written:
+            if written and not outcome.finished:  # a kill between two records would leave one that never ran
                 self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
             if self.passed_on and self.handover is not None:
                 self.handover.tell({
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -11,6 +11,7 @@
 import heapq
 import math
 import random
+from bisect import bisect_right
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
@@ -49,6 +50,7 @@
 ASK_APART = SECOND // 10  # of a fleet's calls for the list, where its watches all break at once
 ASK_SOON = SECOND  # for the first call behind a lost watch: its silence has lasted, and news is due
 ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
+ASK_WITHIN = 11 * SECOND // 2  # from a call that came to nothing to the next, which is answered before that
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
 MOST_USED = 1024  # destinations that are known without need: some seconds' traffic of a relay that sees many
 LOOKS = 4  # at what may be let go, each turn
@@ -57,6 +59,7 @@
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 LEARNED_SPANS = ("refusals", "sent", "arrived", "served")
 NOT_LEARNED = ("number", "per_call", "hosts", "calls", *LEARNED_SPANS)  # in the list, or out
+LEARNED_OF_HOSTS = ("last_sent", "gap", "last_ok_sent", "bad", "retry_at")
 FAILED = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED)
 MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
@@ -105,10 +108,10 @@
     ramp_from: int | None = None  # when it came back
     part: float = 0.0  # calls a second of this relay's part of what it takes when warm
     next_at: int = 0  # trial while in trouble, spacing on the ramp
-    refusals: deque[int] = field(default_factory=deque)
-    sent: deque[int] = field(default_factory=deque)
-    arrived: deque[int] = field(default_factory=deque)
-    served: deque[int] = field(default_factory=deque)
+    refusals: list[int] = field(default_factory=list)  # times, oldest first, as in the next three
+    sent: list[int] = field(default_factory=list)
+    arrived: list[int] = field(default_factory=list)
+    served: list[int] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
 
 
@@ -175,6 +178,7 @@
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
         self.ask_at = NEVER
         self.asks_failed = 0  # in a row
+        self.asked_at = NEVER  # when the last call for the list began
         self.subscribed = False
         self.stopping_at = NEVER  # when the process ends
         self.back_at = NEVER  # when the next one may send
@@ -244,7 +248,7 @@
         """Subscribe; what comes of it says when to ask again."""
         if self.now >= self.ask_at and not self.subscribed:
             self.actions.append(Subscribe())
-            self.ask_at = NEVER
+            self.ask_at, self.asked_at = NEVER, self.now
         if not self.subscribed:
             self.wake_at = min(self.wake_at, self.ask_at)
 
@@ -258,11 +262,13 @@
 
     def on_roster(self, event: Roster) -> None:
         if event.scope is ListScope.FAILED:
-            self.subscribed = False
             if self.settings.discovery is Discovery.SUBSCRIBE:
                 least = SECOND // 2 if self.asks_failed else 0
                 self.ask_at = self.now + least + round(self.random.random() * self.ask_span())
+                if not self.subscribed:  # discovery may be back since the call began: its wait counts too
+                    self.ask_at = max(self.now, min(self.ask_at, self.asked_at + ASK_WITHIN))
                 self.asks_failed += 1
+            self.subscribed = False
             return
         if event.scope is not ListScope.CACHED:
             self.subscribed = True
@@ -537,22 +543,25 @@
             if dest.hosts[0].name == name:
                 facts = {f.name: getattr(dest, f.name) for f in fields(dest) if f.name not in NOT_LEARNED}
                 dests[name] = facts | {span: list(getattr(dest, span)) for span in LEARNED_SPANS}
-        hosts = {name: [host.last_sent, host.gap, host.last_ok_sent, host.bad, host.retry_at]
+        hosts = {name: [getattr(host, fact) for fact in LEARNED_OF_HOSTS]
                  for name, (_, host) in self.hosts.items()}
         return {"started": self.started, "dests": dests, "hosts": hosts}
 
     def on_learned(self, facts: dict[str, Any]) -> None:
-        """Go on where another process of this relay left off. What it says of hosts unknown to us is moot."""
+        """Go on where another process of this relay left off, perhaps of another version: what it says of
+        hosts or of facts unknown to us is moot."""
+        facts_known = {f.name for f in fields(Destination)} - set(NOT_LEARNED) | set(LEARNED_SPANS)
         self.started = min(self.started or self.now, facts["started"] or self.now)
         for name, known in facts["dests"].items():
             if name in self.hosts:
                 dest = self.hosts[name][0]
-                for field_name, value in known.items():
-                    setattr(dest, field_name, deque(value) if field_name in LEARNED_SPANS else value)
+                for fact in facts_known & known.keys():
+                    value = known[fact]
+                    setattr(dest, fact, list(value) if fact in LEARNED_SPANS else value)
         for name, values in facts["hosts"].items():
             if name in self.hosts:
-                host = self.hosts[name][1]
-                host.last_sent, host.gap, host.last_ok_sent, host.bad, host.retry_at = values
+                for fact, value in zip(LEARNED_OF_HOSTS, values, strict=False):  # a later one adds to the end
+                    setattr(self.hosts[name][1], fact, value)
 
     def on_overheard(self, o: Overheard) -> None:
         if o.host in self.hosts:
@@ -609,8 +618,7 @@
             dest.refused_from = self.now
         if call.sent_at >= dest.cut_at:  # what went out before a cut says nothing of the new ceiling
             dest.refusals.append(self.now)
-        while dest.refusals and dest.refusals[0] <= self.now - CUT_SPAN:
-            dest.refusals.popleft()
+        del dest.refusals[:bisect_right(dest.refusals, self.now - CUT_SPAN)]
         if len(dest.refusals) >= CUT_AFTER:
             dest.refusals.clear()
             dest.cut_from = dest.ceiling or self.rate(dest.sent, SENT_SPAN)
@@ -662,7 +670,7 @@
         for one in (dest, host):
             one.bad += BAD_WEIGHT * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
-        if good and was and not dest.out:
+        if good and not dest.out and (was or self.may_be_back(dest)):
             # Nobody saw it come back: half of the time since the last failure, in the mean.
             dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
             dest.next_at = self.next_cold(dest, self.now, self.random.random())
@@ -678,6 +686,14 @@
             if dest.out and not was:
                 self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
 
+    def may_be_back(self, dest: Destination) -> bool:
+        """Whether an outage may lie behind this good answer: trouble, and none for ``fall`` before. A relay
+        whose part is less than a call in that time, or unknown, sees no more of one than a bad outcome."""
+        fall = self.settings.rules.fall
+        return (not 0 < self.turn(dest) <= fall and dest.bad_from is not None
+                and dest.bad_at > (dest.ramp_from or 0) and not self.is_cold(dest)
+                and (len(dest.served) < 2 or self.now - dest.served[-2] > fall))
+
     def is_cold(self, dest: Destination) -> bool:
         """On the ramp after an outage."""
         return dest.ramp_from is not None and self.now < dest.ramp_from + self.settings.rules.ramp_time
@@ -717,13 +733,12 @@
 
     # ---- sending
 
-    def rate(self, times: deque[int], span: int) -> float:
+    def rate(self, times: list[int], span: int) -> float:
         """Events a second over the last ``span``."""
-        while times and times[0] <= self.now - span:
-            times.popleft()
+        del times[:bisect_right(times, self.now - span)]
         return len(times) * SECOND / max(SECOND, min(span, self.now - (self.started or 0)))
 
-    def mark(self, times: deque[int], span: int) -> None:
+    def mark(self, times: list[int], span: int) -> None:
         """Note an event for a rate over ``span``."""
         times.append(self.now)
         self.rate(times, span)  # drops what is older
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,7 @@
 import pytest
 
 from garnetrelay import clients, hosts
+from garnetrelay.journal import Journal
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
 from tests.processes import ROOT, free_port
@@ -191,7 +192,8 @@
     raw.close()
 
 
-async def test_client_that_garbles_and_goes_leaves_the_turn_whole(field: Field) -> None:
+async def test_client_that_garbles_and_goes_leaves_the_turn_whole(
+        field: Field, caplog: pytest.LogCaptureFixture) -> None:
     """Our answer meets a closed socket, so that its side's end can't be ended any more: that must cost no
     other client its answer, and no message its call."""
     other = await field.start()
@@ -205,10 +207,32 @@
     relay = field.relays[0]
     await until(lambda: not relay.held and not relay.pacer.calls and not relay.pacer.messages)
     await until(lambda: len(relay.server.connections) == 1)
+    assert not [record for record in caplog.records if record.exc_info]
 
 
-async def test_client_that_resets_as_a_draining_relay_closes_leaves_the_turn_whole(
+async def test_no_error_at_one_clients_answer_costs_others_their_turn(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Twice such an error ended whole turns: calls held slots for good, ends were never told."""
+    other = await field.start()
+    raw = await raw_client(field)
+    relay = field.relays[0]
+    *_, spoilt = relay.server.connections
+
+    def fails() -> None:
+        raise RuntimeError("anything")
+
+    monkeypatch.setattr(spoilt, "send_ready", fails)
+    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
+    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
+    assert await other.read() == b"OK"
+    for _ in range(2):
+        (await field.host.next_call()).answer(200)
+    await until(lambda: not relay.held and not relay.pacer.calls and len(relay.server.connections) == 1)
+    raw.close()
+
+
+async def test_client_that_resets_as_a_draining_relay_closes_leaves_the_turn_whole(
+        field: Field, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
     """Behind the last look at the socket, before our side ends."""
     other = await field.start()
     raw = await raw_client(field)
@@ -238,6 +262,7 @@
         (await field.host.next_call()).answer(200)
     await until(lambda: not relay.held and not relay.pacer.calls)
     assert raw.fileno() < 0
+    assert not [record for record in caplog.records if record.exc_info]
 
 
 async def test_client_that_resets_as_the_process_ends_costs_no_other_its_answer(field: Field) -> None:
@@ -324,6 +349,42 @@
     assert set(relay.journal.entries) == {"m1"}
 
 
+@pytest.mark.parametrize("status", [200, 410])
+async def test_kill_between_an_answer_and_the_record_of_the_end_leaves_what_may_have_run(
+        field: Field, monkeypatch: pytest.MonkeyPatch, tmp_path: Path, status: int) -> None:
+    client = await field.start()
+    relay = field.relays[0]
+    ended, copies = relay.journal.ended, []
+
+    def killed(*args: Any) -> None:
+        copies.append((field.state / "journal").read_bytes())
+        ended(*args)
+
+    monkeypatch.setattr(relay.journal, "ended", killed)
+    await client.enqueue("m1", "unsafe")
+    (await field.host.next_call()).answer(status)
+    await until(lambda: not relay.held)
+    (tmp_path / "copy").write_bytes(copies[0])
+    entry = Journal(tmp_path, 3_000_000, "copy").entries["m1"]
+    assert entry.attempts == 1 and (entry.trying_at is not None or entry.ran_at is not None)
+
+
+async def test_request_of_which_a_part_has_been_read_as_the_process_ends_is_refused(field: Field) -> None:
+    """Its client writes the rest, and would see its connection end with no answer."""
+    client = await field.start()
+    relay = field.relays[0]
+    command = packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
+    client.writer.write(command[:30])
+    await until(lambda: any(connection.unread for connection in relay.server.connections))
+    relay.ending = True
+    end = asyncio.create_task(relay.server.end())
+    await asyncio.sleep(0)
+    client.writer.write(command[30:])
+    await end
+    assert await client.read() == "BUSY" and await client.read() is None
+    assert not relay.journal.entries
+
+
 async def test_turn_that_was_due_when_the_process_closed_touches_nothing(field: Field) -> None:
     await field.start()
     relay = field.relays.pop()
