--- a/fleetlab/scale.py
+++ b/fleetlab/scale.py
@@ -11,6 +11,7 @@
 import signal
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
@@ -222,9 +223,11 @@
         await self._until(restart.at)
         relay = self.relays[restart.relay]
         if not relay.crashed:
+            self.ledger.restarting(relay.name)
             self.endpoints.restarted(relay.name)
             await relay.restart(restart.killed)
             self.endpoints.restarted(relay.name)
+            self.ledger.ready(relay.name, time.monotonic())
 
     def _told(self, relay: str, name: str) -> tuple[str, float] | None:
         told = self.agent.told.get(relay)
@@ -317,6 +320,11 @@
         figures |= result.quantiles("answer", self.ledger.answers)
         figures |= result.quantiles("hand_in_lateness", self.clients.lateness)
         figures |= result.counted({f"calls_{v.value}": verdicts[v] for v in Verdict}, "calls")
+        by_relay = sum((partner.calls for partner in self.endpoints.partners.values()), Counter[str]())
+        figures["calls_real"] = Figure(
+            value=sum(by_relay[relay.name] for relay in self.relays), unit="calls")
+        figures["calls_hollow"] = Figure(
+            value=sum(count for name, count in by_relay.items() if name.startswith("h")), unit="calls")
         figures["calls_unheard"] = Figure(value=self.endpoints.ran_unheard, unit="calls")
         figures["probes"] = Figure(value=self.endpoints.probes, unit="probes")
         figures["fallen"] = Figure(
