Let discovery be silent, slow and forgetful in a scale run

Cause: a fleet's changes are to be in force everywhere within 17 s, also where discovery was down or works through its calls in turn; a run could not show that, and the time of versions it had forgotten was lost. Change: three more values of a plan; the time each version came up is kept; a change counts as told to a relay from its start on, also by a whole list.

--- a/fleetlab/agent.py
+++ b/fleetlab/agent.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import time
@@ -22,7 +23,7 @@
 
 HEARTBEAT = 2.0  # seconds between the lines of a watch where nothing changes
 PIECE = 256 * 1024  # bytes written at a time
-MOST_VERSIONS = 4096  # versions that a watch may be behind and still hear of changes alone
+MOST_VERSIONS = 4096
 BACKLOG = 4096
 
 OnNotice = Callable[[str, str, int], None]  # ref, result, wait in milliseconds
@@ -44,27 +45,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Version:
-    """One version of the list: what changed, as lines, and the monotonic time it came up."""
+    """One version of the list: what changed."""
 
     index: int
     lines: tuple[tuple[str, str, bytes], ...]  # name, status, JSON
-    at: float
 
 
 class Agent:
     """The list, its versions, and all who watch it.
 
     ``call_time`` is what each call for the list costs, in seconds, where discovery works through its calls in
-    turn; 0 for an agent that has all of it already.
+    turn; 0 for an agent that has all of it already. ``history`` is how many versions a watch may be behind
+    and still hear of the changes alone.
     """
 
     def __init__(self, lines: Iterable[Mapping[str, Any]], index: int = 1,
-                 on_notice: OnNotice = lambda ref, result, wait: None, call_time: float = 0.0) -> None:
+                 on_notice: OnNotice = lambda ref, result, wait: None, call_time: float = 0.0,
+                 history: int = MOST_VERSIONS) -> None:
         self.index = index
         self.on_notice = on_notice
         self.call_time = call_time
         self.entries: dict[str, bytes] = {str(line["name"]): _json(line) for line in lines}
-        self.versions: deque[Version] = deque(maxlen=MOST_VERSIONS)
+        self.versions: deque[Version] = deque(maxlen=history)
+        self.published: dict[int, float] = {}  # when each version came up, monotonic seconds
         self.told: dict[str, Told] = {}
         self.unreadable = 0  # notices that were answered 400
         self._whole: bytes | None = None
@@ -104,7 +107,8 @@
                 self.entries.pop(name, None)
             else:
                 self.entries[name] = text
-        self.versions.append(Version(self.index, changed, time.monotonic()))
+        self.versions.append(Version(self.index, changed))
+        self.published[self.index] = time.monotonic()
         self._whole = None
         self._news.set()
         self._news = asyncio.Event()
@@ -150,6 +154,8 @@
         if self.call_time:
             async with self._turn:
                 await asyncio.sleep(self.call_time)
+        if request.transport is None:
+            return web.Response(status=503)  # who asked has gone meanwhile
         if request.query.get("follow") != "1":
             return await self._list(request, told)
         since = request.query.get("since", "0")
@@ -175,16 +181,17 @@
         text = self.whole()
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         response.content_length = len(text)
-        await response.prepare(request)
         told.wholes += 1
-        await _write(response, text, told)
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
+            await _write(response, text, told)
         return response
 
     async def _watch(self, request: web.BaseRequest, since: int, told: Told) -> web.StreamResponse:
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         response.enable_chunked_encoding()
-        await response.prepare(request)
         try:
+            await response.prepare(request)
             for name in (name for version in self._after(since) for name, _, _ in version.lines):
                 told.statuses.pop(name, None)  # a process that starts again has not heard of them yet
             while True:
--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -64,6 +64,9 @@
     outage: Annotated[float, Field(ge=1, le=3600, description="mean seconds of an outage")] = 8.0
     changes: Annotated[float, Field(ge=0, le=10_000_000, description="changes of the list a day")] = 4600.0
     speedup: Annotated[float, Field(gt=0, le=100_000, description="days of changes in a day")] = 10.0
+    history: Annotated[int, Field(ge=1, le=100_000, description="versions behind which changes do")] = 4096
+    discovery_call: Annotated[float, Field(ge=0, le=10, description="seconds each call there takes")] = 0.0
+    discovery_down: Annotated[float, Field(ge=0, le=3600, description="seconds, from the middle on")] = 0.0
     restarts: Annotated[int, Field(ge=0, le=1000, description="of real relays in the run")] = 1
     hollow_restarts: Annotated[int, Field(ge=0, le=100_000, description="of hollow ones in the run")] = 4
     memory_mb: Annotated[int, Field(ge=32, le=4096, description="limit of each real relay")] = 192
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -109,7 +109,7 @@
         self.delivery = HdrHistogram(1, 3_600_000_000, 3)  # microseconds
         self.lateness = HdrHistogram(1, 3_600_000_000, 3)
         self.heard: dict[int, list[tuple[float, float]]] = {}
-        """By version: when each relay had it, and since when it had watched, both monotonic seconds."""
+        """By version: when each relay had it, and when that relay had started, both monotonic seconds."""
         self.begun = 0
         self.closing = False
         seeds = self.fleet.seeds("hollow", self.plan.hollow)
@@ -186,7 +186,7 @@
         self.index = process.spec.index
         self.up = False
         self.watched = False
-        self.watching_from = 0.0
+        self.alive_from = 0.0
         self.restarting = False
         self.pacer: Pacer | None = None
         self.session: aiohttp.ClientSession | None = None
@@ -202,6 +202,7 @@
     def start_up(self, recovered: list[io.Event]) -> None:
         """A new process under the same name: it knows the list that its configuration holds."""
         self.life += 1
+        self.alive_from = time.monotonic()
         self.pacer = Pacer(self.settings, int(self.rng.integers(1 << 62)))
         self.index = self.process.spec.index
         self.session = aiohttp.ClientSession(
@@ -405,7 +406,6 @@
                 return
             counts.watches += 1
             self.watched = True
-            self.watching_from = time.monotonic()
             while True:
                 async with asyncio.timeout(SILENCE):
                     piece = await answer.content.readany()
@@ -423,9 +423,9 @@
     def _news(self, raw: Mapping[str, Any]) -> None:
         index, whole = int(raw["index"]), bool(raw["snapshot"])
         now = time.monotonic()
-        if not whole and self.process.begun:
+        if self.process.begun:
             for version in range(self.index + 1, index + 1):
-                self.process.heard.setdefault(version, []).append((now, self.watching_from))
+                self.process.heard.setdefault(version, []).append((now, self.alive_from))
         self.process.counts.wholes += whole
         self.index = index
         entries = []
--- a/fleetlab/result.py
+++ b/fleetlab/result.py
@@ -5,6 +5,7 @@
 import datetime
 import os
 import platform
+import statistics
 import subprocess
 from collections.abc import Iterable, Mapping
 from pathlib import Path
@@ -86,7 +87,7 @@
 def spread(name: str, values: Iterable[float], unit: str) -> dict[str, Figure]:
     """Median and largest of some values."""
     ordered = sorted(values)
-    middle = round(ordered[len(ordered) // 2], 4) if ordered else None
+    middle = round(statistics.median(ordered), 4) if ordered else None
     return {f"{name}_median": Figure(value=middle, unit=unit),
             f"{name}_max": Figure(value=round(ordered[-1], 4) if ordered else None, unit=unit)}
 
--- a/fleetlab/scale.py
+++ b/fleetlab/scale.py
@@ -110,7 +110,8 @@
         for dest in fleet.drawn:
             await self.endpoints.open(dest)
         addresses = self.endpoints.addresses
-        self.agent = Agent(fleet.lines(addresses), on_notice=self._on_notice)
+        self.agent = Agent(fleet.lines(addresses), on_notice=self._on_notice, call_time=plan.discovery_call,
+                           history=plan.history)
         known = json.loads(self.agent.whole())
         for n in range(plan.relays):
             relay = RealRelay(f"n{n}", folder / f"n{n}", self.options.command)
@@ -135,6 +136,8 @@
             self._spawn(self._change(change))
         for n in range(plan.relays):
             self._spawn(self._restarts(n))
+        if plan.discovery_down:
+            self._spawn(self._discovery_outage())
         await asyncio.sleep(max(0.0, self.begun - time.monotonic()))
         await self.clients.play(self.begun + plan.length)
         await self._settle()
@@ -187,6 +190,12 @@
         await self._until(outage.at + outage.length)
         await self.endpoints.come_back(outage.dest, time.monotonic())
 
+    async def _discovery_outage(self) -> None:
+        await self._until(self.plan.length / 2)
+        self.agent.fall_silent()
+        await asyncio.sleep(self.plan.discovery_down)
+        self.agent.speak()
+
     async def _change(self, change: Change) -> None:
         await self._until(change.at)
         self.changes += 1
@@ -350,14 +359,13 @@
         delivery, lateness = (HdrHistogram(1, 3_600_000_000, 3) for _ in range(2))
         told: list[float] = []
         slowest: dict[int, float] = {}
-        published = {version.index: version.at for version in self.agent.versions}
         for latest in hollow.latest:
             if "delivery" in latest:
                 delivery.decode_and_add(latest["delivery"])
                 lateness.decode_and_add(latest["lateness"])
             for text, times in latest.get("heard", {}).items():
-                version = published.get(int(text), math.inf)  # who took its watch up later had it then
-                since = [at - version for at, watching_from in times if watching_from < version < math.inf]
+                version = self.agent.published.get(int(text), math.inf)
+                since = [at - version for at, alive_from in times if alive_from < version < math.inf]
                 told += since
                 if since:
                     slowest[int(text)] = max(slowest.get(int(text), 0.0), *since)
--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -89,6 +89,38 @@
             assert whole["snapshot"] and len(whole["endpoints"]) == len(fleet.lines()) - 1
 
 
+async def test_the_agent_says_nothing_while_discovery_is_down(agent: Agent) -> None:
+    address = await agent.listen("n0")
+    fleet = Fleet(Plan())
+    change = list_line(fleet.destinations[0].endpoints[0], fleet.destinations[0], "127.0.0.1:1")
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{address}/api/targets?follow=1&since=7") as watch:
+            agent.fall_silent()
+            agent.publish([change])
+            asked = asyncio.create_task(session.get(f"http://{address}/api/targets"))
+            async with session.post(f"http://{address}/v1/notices", data=b"") as answer:
+                assert answer.status == 204
+            assert not asked.done()
+            agent.speak()
+            assert (await line(watch.content))["index"] == 8
+            async with await asked as answer:
+                assert (await answer.json())["index"] == 8
+
+
+async def test_a_watch_too_far_behind_gets_the_whole_list() -> None:
+    agent = Agent(Fleet(Plan()).lines(), history=2)
+    address = await agent.listen("n0")
+    change = Fleet(Plan()).lines()[0]
+    for _ in range(3):
+        agent.publish([change])
+    async with aiohttp.ClientSession() as session:
+        for since, whole in ((1, True), (2, False)):
+            async with session.get(f"http://{address}/api/targets?follow=1&since={since}") as watch:
+                assert (await line(watch.content))["snapshot"] is whole
+    assert agent.told["n0"].wholes == 1
+    await agent.close()
+
+
 async def test_the_agent_hears_notices(agent: Agent) -> None:
     heard = []
     agent.on_notice = lambda ref, result, wait: heard.append((ref, result, wait))
