--- a/fleetlab/scale.py
+++ b/fleetlab/scale.py
@@ -11,6 +11,7 @@
 import signal
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
@@ -109,7 +110,8 @@
         for dest in fleet.drawn:
             await self.endpoints.open(dest)
         addresses = self.endpoints.addresses
-        self.agent = Agent(fleet.lines(addresses), on_notice=self._on_notice)
+        self.agent = Agent(fleet.lines(addresses), on_notice=self._on_notice, call_time=plan.discovery_call,
+                           history=plan.history)
         known = json.loads(self.agent.whole())
         for n in range(plan.relays):
             relay = RealRelay(f"n{n}", folder / f"n{n}", self.options.command)
@@ -134,6 +136,8 @@
             self._spawn(self._change(change))
         for n in range(plan.relays):
             self._spawn(self._restarts(n))
+        if plan.discovery_down:
+            self._spawn(self._discovery_outage())
         await asyncio.sleep(max(0.0, self.begun - time.monotonic()))
         await self.clients.play(self.begun + plan.length)
         await self._settle()
@@ -186,6 +190,12 @@
         await self._until(outage.at + outage.length)
         await self.endpoints.come_back(outage.dest, time.monotonic())
 
+    async def _discovery_outage(self) -> None:
+        await self._until(self.plan.length / 2)
+        self.agent.fall_silent()
+        await asyncio.sleep(self.plan.discovery_down)
+        self.agent.speak()
+
     async def _change(self, change: Change) -> None:
         await self._until(change.at)
         self.changes += 1
@@ -222,9 +232,11 @@
         await self._until(restart.at)
         relay = self.relays[restart.relay]
         if not relay.crashed:
+            self.ledger.restarting(relay.name)
             self.endpoints.restarted(relay.name)
             await relay.restart(restart.killed)
             self.endpoints.restarted(relay.name)
+            self.ledger.ready(relay.name, time.monotonic())
 
     def _told(self, relay: str, name: str) -> tuple[str, float] | None:
         told = self.agent.told.get(relay)
@@ -317,6 +329,11 @@
         figures |= result.quantiles("answer", self.ledger.answers)
         figures |= result.quantiles("hand_in_lateness", self.clients.lateness)
         figures |= result.counted({f"calls_{v.value}": verdicts[v] for v in Verdict}, "calls")
+        by_relay = sum((partner.calls for partner in self.endpoints.partners.values()), Counter[str]())
+        figures["calls_real"] = Figure(
+            value=sum(by_relay[relay.name] for relay in self.relays), unit="calls")
+        figures["calls_hollow"] = Figure(
+            value=sum(count for name, count in by_relay.items() if name.startswith("h")), unit="calls")
         figures["calls_unheard"] = Figure(value=self.endpoints.ran_unheard, unit="calls")
         figures["probes"] = Figure(value=self.endpoints.probes, unit="probes")
         figures["fallen"] = Figure(
@@ -342,14 +359,13 @@
         delivery, lateness = (HdrHistogram(1, 3_600_000_000, 3) for _ in range(2))
         told: list[float] = []
         slowest: dict[int, float] = {}
-        published = {version.index: version.at for version in self.agent.versions}
         for latest in hollow.latest:
             if "delivery" in latest:
                 delivery.decode_and_add(latest["delivery"])
                 lateness.decode_and_add(latest["lateness"])
             for text, times in latest.get("heard", {}).items():
-                version = published.get(int(text), math.inf)  # who took its watch up later had it then
-                since = [at - version for at, watching_from in times if watching_from < version < math.inf]
+                version = self.agent.published.get(int(text), math.inf)
+                since = [at - version for at, alive_from in times if alive_from < version < math.inf]
                 told += since
                 if since:
                     slowest[int(text)] = max(slowest.get(int(text), 0.0), *since)
