--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -21,7 +21,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -34,6 +33,7 @@
 
 from fleetlab import fit
 from fleetlab.agent import Agent, Told
+from fleetlab.realrelays import run_command
 from garnetrelay import discovery
 from garnetrelay.catalog import Catalog
 from garnetrelay.journal import Entry, Journal
@@ -42,6 +42,7 @@
 from starlingwick.settings import parse_settings
 
 ROOT = Path(__file__).parent.parent
+COMMAND = "FLEETLAB_COMMAND"  # in the environment: starts a real relay, in place of the deploy file's ``run``
 SECOND = 1_000_000_000
 MS = 1_000_000
 
@@ -187,7 +188,7 @@
         self.started = 0.0
 
     def start(self) -> None:
-        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        run = os.environ.get(COMMAND) or run_command()
         self.started = time.monotonic()
         with open(self.folder / "log", "ab") as log:
             self.child = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=self.environment, stderr=log)
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -4,6 +4,7 @@
 
 import json
 import subprocess
+import sys
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,12 @@
 KEPT = sorted((ROOT / "docs" / "capacity").glob("*.json"))
 
 
+@pytest.fixture(autouse=True)
+def command(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where 'build' has not run, the tests' own environment does."""
+    monkeypatch.setenv(slopes.COMMAND, f"exec {sys.executable} -m garnetrelay")
+
+
 @given(st.floats(-1e3, 1e3), st.floats(-1e3, 1e3),
        st.lists(st.integers(0, 10**6), min_size=fit.FEWEST, max_size=20, unique=True))
 def test_points_of_a_line_give_that_line(slope: float, intercept: float, sizes: list[int]) -> None:
