Call the laboratory's own free_port and packed, and share steps of tests

`slopes.py` had a free_port and a packing of commands of its own beside those of `realrelays.py` and `clients.py`.

--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -15,7 +15,6 @@
 import os
 import platform
 import random
-import socket
 import statistics
 import subprocess
 import sys
@@ -33,7 +32,8 @@
 
 from fleetlab import fit
 from fleetlab.agent import Agent, Told
-from fleetlab.realrelays import run_command
+from fleetlab.clients import packed
+from fleetlab.realrelays import free_port, run_command
 from garnetrelay import discovery
 from garnetrelay.catalog import Catalog
 from garnetrelay.journal import Entry, Journal
@@ -148,8 +148,7 @@
         self.reader, self.writer, self.parser, self.count = reader, writer, hiredis.Reader(), 0
 
     def write(self, *words: str | bytes) -> None:
-        data: bytes = hiredis.pack_command(words)  # type: ignore[arg-type]
-        self.writer.write(data)
+        self.writer.write(packed(*words))
 
     async def read(self) -> Any:
         while (answer := self.parser.gets()) is False:
@@ -256,12 +255,6 @@
             self.child.wait()
 
 
-def free_port() -> int:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return int(free.getsockname()[1])
-
-
 @asynccontextmanager
 async def relay(world: World, known: list[Line], folder: Path) -> AsyncIterator[Process]:
     process = Process(world, known, folder)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -210,6 +210,15 @@
     assert not [record for record in caplog.records if record.exc_info]
 
 
+async def both_are_delivered(field: Field, raw: socket.socket, other: Client) -> None:
+    """One turn takes on a message of each; the other client hears so, and both messages get their call."""
+    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
+    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
+    assert await other.read() == b"OK"
+    for _ in range(2):
+        (await field.host.next_call()).answer(200)
+
+
 async def test_no_error_at_one_clients_answer_costs_others_their_turn(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """Twice such an error ended whole turns: calls held slots for good, ends were never told."""
@@ -222,11 +231,7 @@
         raise RuntimeError("anything")
 
     monkeypatch.setattr(spoilt, "send_ready", fails)
-    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
-    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
-    assert await other.read() == b"OK"
-    for _ in range(2):
-        (await field.host.next_call()).answer(200)
+    await both_are_delivered(field, raw, other)
     await until(lambda: not relay.held and not relay.pacer.calls and len(relay.server.connections) == 1)
     raw.close()
 
@@ -255,11 +260,7 @@
 
     relay.server.draining = True
     monkeypatch.setattr(select, "poll", Look)
-    raw.sendall(packed("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x"))
-    other.write("ENQUEUE", "0", "m2", "c=safe,d=8000,dest=3", "x")
-    assert await other.read() == b"OK"
-    for _ in range(2):
-        (await field.host.next_call()).answer(200)
+    await both_are_delivered(field, raw, other)
     await until(lambda: not relay.held and not relay.pacer.calls)
     assert raw.fileno() < 0
     assert not [record for record in caplog.records if record.exc_info]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,7 +15,7 @@
 from starlingwick import interface as io
 from tests.helpers import MS, S, Relay, entry
 from tests.processes import Process, free_port
-from tests.sockets import PATIENCE, Client, Field, http, until
+from tests.sockets import PATIENCE, Call, Client, Field, http, until
 
 
 class Pair:
@@ -100,7 +100,8 @@
     assert sorted(path.name for path in field.state.iterdir() if path.stat().st_size) == ["journal"]
 
 
-async def test_wait_told_to_the_old_process_binds_the_new_one(field: Field, pair: Pair) -> None:
+async def out_at_the_old_process(field: Field, pair: Pair) -> Call:
+    """A call that the old process still has out, while the new one serves."""
     client = await pair.old.start()
     assert await client.enqueue("out") == b"OK"
     out = await field.host.next_call()
@@ -108,6 +109,12 @@
     assert pair.old.child is not None
     pair.old.child.send_signal(signal.SIGTERM)
     await pair.new.says("serves on")
+    return out
+
+
+async def test_wait_told_to_the_old_process_binds_the_new_one(field: Field, pair: Pair) -> None:
+    out = await out_at_the_old_process(field, pair)
+    assert pair.old.child is not None
     out.answer(429, "X-Backoff-Ms: 1500")
     told = asyncio.get_running_loop().time()
     async with asyncio.timeout(PATIENCE):
@@ -122,13 +129,7 @@
 async def test_wait_told_by_half_an_answer_to_the_old_process_binds_the_new_one(
         field: Field, pair: Pair) -> None:
     """The rest never comes: without the head's own line the wait would be lost with the process."""
-    client = await pair.old.start()
-    assert await client.enqueue("out") == b"OK"
-    out = await field.host.next_call()
-    await pair.new.start("waiting for the process before us")
-    assert pair.old.child is not None
-    pair.old.child.send_signal(signal.SIGTERM)
-    await pair.new.says("serves on")
+    out = await out_at_the_old_process(field, pair)
     out.raw(b"HTTP/1.1 429 No\r\nX-Backoff-Ms: 1500\r\nContent-Length: 9\r\n\r\n")
     told = asyncio.get_running_loop().time()
     await until(lambda: b'"told"' in (field.state / "handover").read_bytes())
