Write each record that the disk did not take as soon as it can be written

A start read the file in one pread, which may be short. Change: what has happened but could not be written is kept and written before any other record; an attempt or a message whose record failed changes nothing; half a record is cut before the next; flush() tries again; the log says it once.

--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -17,11 +17,15 @@
 import logging
 import os
 import struct
+import time
 import zlib
+from collections import deque
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from garnetrelay.files import close_quietly, read_all, remove_quietly, write_all
+
 log = logging.getLogger(__name__)
 
 HEAD = struct.Struct(">2sII")  # mark, length of the payload, its CRC-32
@@ -30,6 +34,7 @@
 BLOCK = 512  # a file counts in whole blocks
 LATER = 1024  # what a message's whole record takes beside its names and body, and some further ones with it
 TIDY_FROM = 256 * 1024  # below this, dead records are not worth a rewrite
+TIDY_AGAIN = 1.0  # seconds from a rewrite that failed to the next, where there is room without
 
 
 @dataclass(slots=True)
@@ -53,61 +58,92 @@
 
 
 class Journal:
-    """Appends records, keeps the live entries, and makes room."""
+    """Appends records, keeps the live entries, and makes room.
+
+    While the disk fails, the entries in memory are ahead of the file: ``pending`` holds the records that are
+    missing there, and they are written before any other as soon as that can be done.
+    """
 
     def __init__(self, folder: Path, disk_bytes: int, name: str = "journal", create: bool = True) -> None:
-        """BlockingIOError where another process has it, FileNotFoundError where it is gone."""
+        """BlockingIOError where another process has it, FileNotFoundError where it is gone, any other OSError
+        where it cannot be opened or read just now."""
         self.path = folder / name
         self.spare = folder / f"{name}.new"
         self.most = disk_bytes - 8 * BLOCK
         self.entries: dict[str, Entry] = {}
         self.live = 0  # bytes that the live entries would take in a new file, later records included
-        self.broken = False  # a write failed and could not be undone: append nothing behind it
+        self.pending: deque[bytes] = deque()  # records that could not be written yet, oldest first
+        self.failing = False  # the latest record could not be written
+        self.torn = False  # half a record stands at the end of the file: to be cut before another is written
+        self.tidy_after = 0.0  # when a rewrite that nothing waits for may be tried again
         self.file = _open_locked(self.path, os.O_CREAT if create else 0)
-        self.spare.unlink(missing_ok=True)  # a rewrite that a kill cut short
-        self.size = self._load()
+        remove_quietly(self.spare)  # a rewrite that a kill cut short
+        try:
+            self.size = self._load()
+        except OSError:
+            close_quietly(self.file)
+            raise
 
     def close(self) -> None:
         """Let go of it: whoever takes it next owns what is in it."""
-        os.close(self.file)
+        close_quietly(self.file)
 
-    def remove(self) -> None:
-        self.path.unlink(missing_ok=True)  # under its lock: nobody can have taken it meanwhile
+    def remove(self) -> bool:
+        """Whether it is gone; where it cannot be removed just now it stays ours."""
+        if not remove_quietly(self.path):  # under its lock: nobody can have taken it meanwhile
+            return False
         self.close()
+        return True
 
     # ---- what happens to a message
 
     def has_room(self, weight: int) -> bool:
         """Whether one more message fits, also while old and new file stand side by side."""
-        return not self.broken and 2 * (self.live + weight + LATER) <= self.most
+        return not self.failing and 2 * (self.live + weight + LATER) <= self.most
 
     def taken(self, entry: Entry) -> bool:
         """Whether the message is on record now; without that it must not be taken on."""
-        if not self._append(*_whole(entry)):
+        if not self._append(_pack(*_whole(entry))):
             return False
         self._add(entry)
         return True
 
     def trying(self, ref: str, zone: str, now_ms: int) -> bool:
         """Whether the attempt is on record now; without that its first byte must not go out."""
-        return self._note({"t": "try", "ref": ref, "at": now_ms, "zone": zone})
+        record = {"t": "try", "ref": ref, "at": now_ms, "zone": zone}
+        if ref not in self.entries or not self._append(_pack(record, b"")):
+            return False
+        self._apply(record)
+        return True
 
     def outcome(self, ref: str, may_have_run: bool) -> None:
         self._note({"t": "outcome", "ref": ref, "ran": may_have_run})
 
-    def ended(self, ref: str, result: str | None, wait_ms: int = 0) -> None:
-        """Over: with the result that a notice has to tell, or without one where nothing more is owed."""
-        self._note({"t": "ended", "ref": ref, "result": result, "wait": wait_ms})
+    def ended(self, ref: str, result: str | None, wait_ms: int = 0) -> bool:
+        """Over: with the result that a notice has to tell, or without one where nothing more is owed. Whether
+        that is on record now; without that a notice must not go out while the message could be sent again."""
+        return self._note({"t": "ended", "ref": ref, "result": result, "wait": wait_ms})
 
     def told(self, ref: str) -> None:
         self._note({"t": "told", "ref": ref})
 
+    def flush(self) -> bool:
+        """Write what could not be written before. Whether nothing is left to write."""
+        if not self.failing:
+            return True
+        self._make_room(sum(map(len, self.pending)))
+        return self._write_pending() and self._write(NO_CHANGE)
+
     # ---- the live entries
 
     def _note(self, record: dict[str, Any]) -> bool:
+        """Something that has happened, whether or not it can be written yet. Whether it is on record now."""
         if record["ref"] not in self.entries:
             return False
-        written = self._append(record, b"")
+        data = _pack(record, b"")
+        written = self._append(data)
+        if not written:
+            self.pending.append(data)
         self._apply(record)
         return written
 
@@ -141,54 +177,92 @@
 
     # ---- the file
 
-    def _append(self, record: dict[str, Any], body: bytes) -> bool:
-        data = _pack(record, body)
-        if self.size + len(data) > max(self.most - self.live - LATER, 0) or self.size > max(
-                TIDY_FROM, 3 * self.live):
+    def _append(self, data: bytes) -> bool:
+        """Whether the record stands in the file now, behind all that came before it."""
+        self._make_room(sum(map(len, self.pending)) + len(data))
+        return self._write_pending() and self._write(data)
+
+    def _make_room(self, needed: int) -> None:
+        """Write the file anew where it has no room for so many bytes, or where most of it is dead records."""
+        if self.size + needed > max(self.most - self.live - LATER, 0):
             self._rewrite()
-        if self.broken or self.size + len(data) > max(self.most - self.live, 0):
+        elif self.size > max(TIDY_FROM, 3 * self.live) and time.monotonic() >= self.tidy_after:
+            if not self._rewrite():
+                self.tidy_after = time.monotonic() + TIDY_AGAIN
+
+    def _write_pending(self) -> bool:
+        while self.pending:
+            if not self._write(self.pending[0]):
+                return False
+            self.pending.popleft()
+        return True
+
+    def _write(self, data: bytes) -> bool:
+        if self.size + len(data) > max(self.most - self.live, 0):
             # It could not be written anew: what is left of the disk is for doing so later.
-            log.error("journal: no room for a record: %d of %d bytes, %d live",
-                      self.size, self.most, self.live)
-            return False
+            return self._failed(f"no room for a record: {self.size} of {self.most} bytes, {self.live} live")
         try:
-            _write_all(self.file, data)
-        except OSError as error:
-            log.error("journal: cannot write: %s", error.strerror)
-            try:
+            if self.torn:
                 os.ftruncate(self.file, self.size)  # half a record would hide those behind it
-            except OSError:
-                self.broken = True
-            return False
+                self.torn = False
+            write_all(self.file, data)
+        except OSError as error:
+            self._cut_torn_tail()
+            return self._failed(f"cannot write: {error.strerror}")
         self.size += len(data)
+        self._succeeded()
         return True
 
-    def _rewrite(self) -> None:
-        """Write the live entries to a new file and put it in the old one's place."""
+    def _cut_torn_tail(self) -> None:
+        try:
+            os.ftruncate(self.file, self.size)
+            self.torn = False
+        except OSError:
+            self.torn = True
+
+    def _failed(self, why: str) -> bool:
+        """Said once, not for each record."""
+        if not self.failing:
+            log.error("%s: %s; messages are refused until it can be written", self.path.name, why)
+        self.failing = True
+        return False
+
+    def _succeeded(self) -> None:
+        if self.failing:
+            log.info("%s: can be written again", self.path.name)
+        self.failing = False
+
+    def _rewrite(self) -> bool:
+        """Write the live entries to a new file and put it in the old one's place. Whether that was done."""
         try:
             new = os.open(self.spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
         except OSError as error:
-            log.error("journal: cannot be written anew: %s", error.strerror)
-            return
+            return self._cannot_rewrite(error)
         size = 0
         try:
             fcntl.flock(new, fcntl.LOCK_EX | fcntl.LOCK_NB)  # in the old one's place, it must be ours at once
             for entry in self.entries.values():
                 data = _pack(*_whole(entry))
-                _write_all(new, data)
+                write_all(new, data)
                 size += len(data)
             os.rename(self.spare, self.path)
         except OSError as error:
-            log.error("journal: cannot be written anew: %s", error.strerror)
-            os.close(new)
-            self.spare.unlink(missing_ok=True)
-            return
-        os.close(self.file)
-        self.file, self.size, self.broken = new, size, False
+            close_quietly(new)
+            remove_quietly(self.spare)
+            return self._cannot_rewrite(error)
+        close_quietly(self.file)
+        self.file, self.size, self.torn = new, size, False
+        self.pending.clear()  # the entries are all that it would have said
+        return True
+
+    def _cannot_rewrite(self, error: OSError) -> bool:
+        if not self.failing and time.monotonic() >= self.tidy_after:
+            log.error("%s: cannot be written anew: %s", self.path.name, error.strerror)
+        return False
 
     def _load(self) -> int:
         """Read the file; what is damaged is passed over, and a torn tail is cut. The size that is left."""
-        data = os.pread(self.file, os.fstat(self.file).st_size, 0)
+        data = read_all(self.file)
         at = end = 0
         while at < len(data):
             payload = _payload_at(data, at)
@@ -206,7 +280,8 @@
             end = at
         if end < len(data):
             log.warning("journal: torn tail of %d bytes cut", len(data) - end)
-            os.ftruncate(self.file, end)
+            self.size = end
+            self._cut_torn_tail()
         return end
 
     def _replay(self, payload: bytes, at: int) -> None:
@@ -223,6 +298,14 @@
                 entry.uncertain = True
 
 
+def _pack(record: dict[str, Any], body: bytes) -> bytes:
+    payload = json.dumps(record, separators=(",", ":")).encode() + b"\n" + body
+    return HEAD.pack(MARK, len(payload), zlib.crc32(payload)) + payload
+
+
+NO_CHANGE = _pack({"t": "told", "ref": ""}, b"")  # shows that the disk is well again, and says nothing
+
+
 def weight(ref: str, key: str | None, body: bytes) -> int:
     """What of a message's record grows with it; a name may take twice its length where it is escaped."""
     return len(body) + 2 * (len(ref) + len(key or ""))
@@ -236,9 +319,9 @@
             if os.path.samestat(os.fstat(file), os.stat(path)):
                 return file
         except OSError:
-            os.close(file)
+            close_quietly(file)
             raise
-        os.close(file)  # it was written anew between our opening it and our lock
+        close_quietly(file)  # it was written anew between our opening it and our lock
 
 
 def _whole(entry: Entry) -> tuple[dict[str, Any], bytes]:
@@ -246,17 +329,6 @@
             entry.body)
 
 
-def _pack(record: dict[str, Any], body: bytes) -> bytes:
-    payload = json.dumps(record, separators=(",", ":")).encode() + b"\n" + body
-    return HEAD.pack(MARK, len(payload), zlib.crc32(payload)) + payload
-
-
-def _write_all(file: int, data: bytes) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(file, view):]
-
-
 def _payload_at(data: bytes, at: int) -> bytes | None:
     if at + HEAD.size > len(data):
         return None
--- a/tests/test_failing_disk.py
+++ b/tests/test_failing_disk.py
@@ -57,3 +57,86 @@
     entries = Journal(tmp_path, DISK).entries
     assert entries["bounced"].ended == "bounced" and entries["bounced"].wait_ms == 500
     assert "told" not in entries
+
+
+def test_attempt_that_could_not_be_recorded_was_never_made(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    journal = Journal(tmp_path, DISK)
+    assert journal.taken(entry("m1"))
+    disk = FailingDisk(monkeypatch, errno.ENOSPC, ("write",))
+    assert not journal.trying("m1", "north", 1000)
+    assert journal.entries["m1"].attempts == 0 and journal.entries["m1"].trying_at is None
+    disk.failing = False
+    assert journal.trying("m1", "north", 2000)
+    assert journal.entries["m1"].attempts == 1
+
+
+@pytest.mark.parametrize("cut_fails", [False, True])
+def test_half_a_record_hides_none_behind_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cut_fails: bool
+) -> None:
+    """The disk takes a part of a record, then nothing; the part cannot be cut off at once, or it can."""
+    journal = Journal(tmp_path, DISK)
+    assert journal.taken(entry("before"))
+    write, written = os.write, [0]
+
+    def half(file: int, data: Any) -> int:
+        written[0] += 1
+        if written[0] > 1:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return write(file, bytes(data)[:20])
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", half)
+        if cut_fails:
+            FailingDisk(patch, errno.EIO, ("ftruncate",))
+        assert not journal.taken(entry("refused"))
+        assert not journal.has_room(100)
+    assert journal.flush() and journal.has_room(100)
+    assert journal.taken(entry("after"))
+    journal.close()
+    assert list(Journal(tmp_path, DISK).entries) == ["before", "after"]
+
+
+@pytest.mark.parametrize("number", ERRORS)
+def test_trouble_with_the_disk_is_said_once_and_its_end_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, number: int
+) -> None:
+    caplog.set_level("INFO")
+    journal = Journal(tmp_path, DISK)
+    disk = FailingDisk(monkeypatch, number, ("write", "open"))
+    for count in range(50):
+        assert not journal.taken(entry(f"m{count}"))
+    assert len(caplog.records) == 1 and disk.failed >= 50
+    disk.failing = False
+    assert journal.flush()
+    assert [record.levelname for record in caplog.records] == ["ERROR", "INFO"]
+
+
+def test_journal_that_comes_in_short_reads_is_read_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    journal = Journal(tmp_path, DISK)
+    for count in range(20):
+        assert journal.taken(entry(f"m{count}"))
+    journal.close()
+    pread = os.pread
+    monkeypatch.setattr(os, "pread", lambda file, size, at: pread(file, min(size, 100), at))
+    assert len(Journal(tmp_path, DISK).entries) == 20
+
+
+def test_torn_tail_that_cannot_be_cut_at_the_start_is_cut_before_anything_is_written(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    journal = Journal(tmp_path, DISK)
+    assert journal.taken(entry("whole")) and journal.taken(entry("torn"))
+    journal.close()
+    os.truncate(tmp_path / "journal", (tmp_path / "journal").stat().st_size - 3)
+    with monkeypatch.context() as patch:
+        FailingDisk(patch, errno.EIO, ("ftruncate",))
+        journal = Journal(tmp_path, DISK)
+        assert not journal.taken(entry("refused"))
+    assert journal.flush() and journal.taken(entry("after"))
+    journal.close()
+    assert list(Journal(tmp_path, DISK).entries) == ["whole", "after"]
