--- a/tests/test_failing_disk.py
+++ b/tests/test_failing_disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 import time
@@ -11,6 +12,7 @@
 import pytest
 
 from garnetrelay.journal import Entry, Journal
+from tests.sockets import Client, Field, until
 
 DISK = 3_000_000
 ERRORS = [errno.ENOSPC, errno.EIO, errno.EDQUOT]
@@ -140,3 +142,73 @@
     assert journal.flush() and journal.taken(entry("after"))
     journal.close()
     assert list(Journal(tmp_path, DISK).entries) == ["whole", "after"]
+
+
+# ---- a relay whose folder fails
+
+
+def on_record(field: Field, ref: str) -> Entry | None:
+    """What a process that starts after a kill at this moment would find."""
+    journal = field.relays[0].journal.own
+    assert journal is not None
+    copy = field.folder / f"copy{time.monotonic_ns()}"
+    copy.mkdir()
+    (copy / "journal").write_bytes((field.state / "journal").read_bytes())
+    found = Journal(copy, DISK)
+    found.close()
+    return found.entries.get(ref)
+
+
+async def refused(client: Client, ref: str) -> int:
+    """The milliseconds after which a client that is turned away may come again."""
+    answer = await client.enqueue(ref)
+    assert isinstance(answer, str) and answer.startswith("BUSY "), answer
+    return int(answer.split()[1])
+
+
+@pytest.mark.parametrize("number", ERRORS)
+async def test_notice_goes_out_once_its_end_is_on_record(
+    field: Field, monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    client = await field.start()
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    call = await field.host.next_call()
+    disk = FailingDisk(monkeypatch, number, ("write",))
+    call.answer(500)
+    await until(lambda: not field.relays[0].held)
+    await asyncio.sleep(0.5)
+    assert field.platform.notices.empty()
+    disk.failing = False
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    kept = on_record(field, "m1")
+    assert kept is None or kept.ended == "dead"
+
+
+async def test_notice_goes_out_in_time_though_the_disk_goes_on_failing(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """By then no later process could send the message again."""
+    client = await field.start()
+    began = time.monotonic()
+    assert await client.enqueue("m1", "unsafe", d=1500) == b"OK"
+    call = await field.host.next_call()
+    FailingDisk(monkeypatch, errno.EIO, ("write",))
+    call.answer(500)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert 1.45 < time.monotonic() - began < 1.8
+
+
+async def test_while_the_disk_fails_messages_are_refused_with_a_wait_and_none_is_sent(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    field.facts["limits"].update(retryAfter=True, maxRetryAfter=3 * 10**9)
+    client = await field.start()
+    await field.warm(client)
+    disk = FailingDisk(monkeypatch, errno.ENOSPC, ("write", "open"))
+    for count in range(20):
+        assert 0 < await refused(client, f"refused{count}") <= 3000
+    assert field.host.calls.empty() and not field.relays[0].held
+    disk.failing = False
+    await until(lambda: not field.relays[0].journal.failing)
+    assert await client.enqueue("m1") == b"OK"
+    (await field.host.next_call()).answer(200)
