--- a/garnetrelay/metrics.py
+++ b/garnetrelay/metrics.py
@@ -28,8 +28,11 @@
     "current": "Messages taken on that have not ended.",
     "cluster_size": "Endpoints in the list.",
     "cluster_unhealthy": "Listed endpoints that are avoided now.",
+    "journal_failing": "Whether records cannot be written to the lasting folder now.",
 }
 
+GAUGES = ("current", "cluster_size", "cluster_unhealthy", "journal_failing")
+
 
 class Metrics:
     """All figures of this process, from 0."""
@@ -41,6 +44,7 @@
         self.current = 0
         self.cluster_size = 0
         self.cluster_unhealthy = 0
+        self.journal_failing = 0
 
     def ended(self, end: End, klass: str) -> None:
         self.ends[end][klass] += 1
@@ -56,7 +60,7 @@
             lines += [f'{PREFIX}_{end.value}{{group="{_escaped(klass)}"}} {count}'
                       for klass, count in counts.items()]
         lines += [*_heading("sends_total", "counter"), f"{PREFIX}_sends_total {self.sends}"]
-        for name in ("current", "cluster_size", "cluster_unhealthy"):
+        for name in GAUGES:
             lines += [*_heading(name, "gauge"), f"{PREFIX}_{name} {getattr(self, name)}"]
         return "\n".join(lines) + "\n"
 
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -9,10 +9,10 @@
 
 import json
 import logging
+import os
 import re
 from collections import ChainMap
 from collections.abc import Iterable
-from itertools import count
 from pathlib import Path
 
 from garnetrelay.journal import Entry, Journal
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 NAME = re.compile(r"journal(\.\d+)?")
+MOST_JOURNALS = 1000  # files that are looked at for a free one
 LEARNED_SHARE = 8  # of the disk, an eighth is for what a process passes on besides messages
 
 
@@ -33,36 +34,65 @@
         self.most = (disk_bytes - disk_bytes // LEARNED_SHARE) // 2 if shared else disk_bytes
         self.journals: dict[str, Journal] = {}
         self.foreign: list[Path] = []  # another live process's, at the last look
+        self.unreadable: set[str] = set()  # what cannot be opened or read just now, at the last look
         self.seen: set[str] = set()  # taken up while another process lives: a second journal may name it too
         self.entries: ChainMap[str, Entry] = ChainMap()
-        self.own = self._create()
+        _require_folder(folder)
+        self.own = self._create()  # None while none can be opened
         self.take_up()
 
     def close(self) -> None:
         for journal in self.journals.values():
             journal.close()
 
+    @property
+    def failing(self) -> bool:
+        """Whether some record cannot be written just now."""
+        return self.own is None or any(journal.failing for journal in self.journals.values())
+
+    def flush(self) -> bool:
+        """Write what could not be written before. Whether nothing is left to write."""
+        if self.own is None:
+            self.own = self._create()
+        flushed = [journal.flush() for journal in self.journals.values()]
+        self._tidy()
+        return self.own is not None and all(flushed)
+
     def take_up(self) -> list[Entry]:
         """Take every journal that nobody holds; the messages and notices that are ours from now on."""
         taken: list[Entry] = []
-        self.foreign = []
-        for name in sorted(path.name for path in self.folder.iterdir() if NAME.fullmatch(path.name)):
+        try:
+            names = sorted(path.name for path in self.folder.iterdir() if NAME.fullmatch(path.name))
+        except OSError as error:  # whoever looks goes on looking; what was another's is still held to be
+            self._cannot_read("the folder", error)
+            return taken
+        foreign: list[Path] = []
+        unreadable = self.unreadable
+        self.unreadable = set()
+        for name in names:
             if name in self.journals:
                 continue
             try:
                 journal = Journal(self.folder, self.most, name, create=False)
             except BlockingIOError:
-                self.foreign.append(self.folder / name)
+                foreign.append(self.folder / name)
             except FileNotFoundError:
                 pass
-            except OSError as error:  # no descriptor is left, say: whoever looks goes on looking
-                log.error("journal: %s cannot be taken up: %s", name, error.strerror)
+            except OSError as error:  # no descriptor is left, say
+                self._cannot_read(name, error, unreadable)
             else:
                 taken += self._add(journal)
+        self.foreign = foreign
         self.seen = self.seen | {entry.ref for entry in taken} if self.foreign else set()
         self._tidy()
         return taken
 
+    def _cannot_read(self, name: str, error: OSError, known: Iterable[str] = ()) -> None:
+        """Said once, not at each look."""
+        if name not in self.unreadable and name not in known:
+            log.error("journal: %s cannot be taken up: %s", name, error.strerror)
+        self.unreadable.add(name)
+
     def elsewhere(self, ref: str) -> bool:
         """Whether another live process has a message on record."""
         mark = b'"ref":' + json.dumps(ref).encode()
@@ -71,15 +101,15 @@
     def hand_over(self, refs: Iterable[str]) -> list[str]:
         """Move messages to a journal of their own and let go of it; those that were moved."""
         journal = self._create()
+        if journal is None:
+            return []
         moved = [ref for ref in refs if journal.taken(self.entries[ref])]
         for ref in moved:  # from here on a kill leaves it in one journal only
-            self._journal(ref).ended(ref, None)
+            self.ended(ref, None)
         del self.journals[journal.path.name]
         self._chain()
-        if journal.entries:
+        if journal.entries or not journal.remove():
             journal.close()
-        else:
-            journal.remove()
         return moved
 
     # ---- what happens to a message
@@ -90,44 +120,63 @@
         left = sum(journal.size for journal in self.journals.values() if journal is not self.own)
         if not self.shared:
             left += sum(_size(path) for path in self.foreign)
-        return self.own.has_room(weight + left // 2)
+        return self.own is not None and self.own.has_room(weight + left // 2)
 
     def taken(self, entry: Entry) -> bool:
-        return self.own.taken(entry)
+        """Whether the message is on record now; without that it must not be taken on."""
+        return self.own is not None and self.own.taken(entry)
+
+    def can_record(self, ref: str) -> bool:
+        """Whether an attempt of a message could be recorded just now, as far as is known."""
+        journal = self._journal(ref)
+        return journal is not None and not journal.failing
 
     def trying(self, ref: str, zone: str, now_ms: int) -> bool:
-        return self._journal(ref).trying(ref, zone, now_ms)
+        """Whether the attempt is on record now; without that its first byte must not go out."""
+        journal = self._journal(ref)
+        return journal is not None and journal.trying(ref, zone, now_ms)
 
     def outcome(self, ref: str, may_have_run: bool) -> None:
-        self._journal(ref).outcome(ref, may_have_run)
+        if (journal := self._journal(ref)) is not None:
+            journal.outcome(ref, may_have_run)
 
-    def ended(self, ref: str, result: str | None, wait_ms: int = 0) -> None:
-        self._journal(ref).ended(ref, result, wait_ms)
+    def ended(self, ref: str, result: str | None, wait_ms: int = 0) -> bool:
+        """Whether the end is on record now; see ``Journal.ended``."""
+        journal = self._journal(ref)
+        recorded = journal is not None and journal.ended(ref, result, wait_ms)
         self._tidy()
+        return recorded
 
     def told(self, ref: str) -> None:
-        self._journal(ref).told(ref)
+        if (journal := self._journal(ref)) is not None:
+            journal.told(ref)
         self._tidy()
 
     # ---- the journals
 
-    def _journal(self, ref: str) -> Journal:
+    def _journal(self, ref: str) -> Journal | None:
         return next((journal for journal in self.journals.values() if ref in journal.entries), self.own)
 
-    def _create(self) -> Journal:
-        """The first that is free or new; its number tells nothing."""
-        for number in count():
+    def _create(self) -> Journal | None:
+        """The first that is free or new; its number tells nothing. None where none can be opened just now."""
+        for number in range(MOST_JOURNALS):
             name = f"journal.{number}" if number else "journal"
             if name in self.journals:
                 continue
+            stood_there = os.path.exists(self.folder / name)
             try:
                 journal = Journal(self.folder, self.most, name)
-            except BlockingIOError:
+            except (BlockingIOError, FileNotFoundError):  # another's, or removed just as we opened it
                 continue
+            except OSError as error:
+                self._cannot_read(name, error)
+                if stood_there:  # perhaps that file alone
+                    continue
+                return None
             self.journals[name] = journal
             self._chain()
             return journal
-        raise AssertionError("unreachable")
+        return None
 
     def _add(self, journal: Journal) -> list[Entry]:
         for ref in [ref for ref in journal.entries if ref in self.seen or ref in self.entries]:
@@ -145,21 +194,30 @@
         if len(self.journals) == 1:
             return
         for name, journal in list(self.journals.items()):
-            if journal is not self.own and not journal.entries:
+            if journal is not self.own and not journal.entries and journal.remove():
                 del self.journals[name]
-                journal.remove()
                 self._chain()
 
 
+def _require_folder(folder: Path) -> None:
+    """OSError where there is none: that is no passing trouble."""
+    try:
+        folder.stat()
+    except (FileNotFoundError, NotADirectoryError):
+        raise
+    except OSError as error:
+        log.error("journal: the folder cannot be read: %s", error.strerror)
+
+
 def _read(path: Path) -> bytes:
     try:
         return path.read_bytes()
-    except FileNotFoundError:
+    except OSError:
         return b""
 
 
 def _size(path: Path) -> int:
     try:
         return path.stat().st_size
-    except FileNotFoundError:
+    except OSError:
         return 0
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -41,6 +41,7 @@
 OBSERVE_EVERY = 0.2  # seconds between looks at what the Pacer avoids: a figure may be late by 0.5
 REPORT_DESTS = 3  # destinations named there
 LISTEN_ON = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
+JOURNAL_RETRY = 0.05  # seconds between two tries to write what the disk did not take: a notice is due in 0.3
 CLIENT_WAIT_MS = 400  # for our answer: by so much at most a client's count of its time is ahead of ours
 
 
@@ -67,6 +68,16 @@
     deadline: int  # wall clock, milliseconds
 
 
+@dataclass(frozen=True, slots=True)
+class UnrecordedEnd:
+    """The end of a message that the disk did not take yet. Until it does, or the message's time is up, a
+    process that starts after a kill would send the message again: no notice goes out before."""
+
+    result: str
+    wait_ms: int
+    deadline: int  # wall clock, milliseconds
+
+
 class Relay:
     """One relay, from its start to its end."""
 
@@ -91,6 +102,7 @@
         self.zones: dict[str, int] = {}  # by host of those
         self.held: dict[str, Held] = {}
         self.newcomers: dict[str, Newcomer] = {}
+        self.unrecorded: dict[str, UnrecordedEnd] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
         self.alarm: asyncio.TimerHandle | None = None
@@ -98,6 +110,7 @@
         self.rewatch: asyncio.TimerHandle | None = None
         self.observe: asyncio.TimerHandle | None = None
         self.winding_up: asyncio.TimerHandle | None = None
+        self.journal_retry: asyncio.TimerHandle | None = None
         self.outcomes: Counter[str] = Counter()  # since the last report
         self.health = Health()
         self.metrics = Metrics(config.class_names)
@@ -124,7 +137,7 @@
         inherited = None if descriptor is None else socket.socket(fileno=descriptor)
         if self.handover is None or self.handover.take():
             await self._serve(inherited)
-        if self.handover is not None or self.journal.foreign:
+        if self.handover is not None or self.journal.foreign or self.journal.unreadable:
             self.overseer = asyncio.get_running_loop().create_task(self._oversee(inherited))
         self.health.ready = not self.stopping  # SIGTERM may have come meanwhile
         if self.server.address is None:
@@ -171,7 +184,7 @@
             self._hand_over()
             self.server.close_silent()
         if (self.server.stopped and self.server.quiet and not self.newcomers and not self.held
-                and not self.notices.queue):
+                and not self.notices.queue and not self.unrecorded):
             self.finished.set()
         else:
             self.winding_up = asyncio.get_running_loop().call_later(LOOK_EVERY, self._wind_up)
@@ -184,7 +197,8 @@
 
     def close(self) -> None:
         self.ending = self.closed = True
-        for timer in (self.alarm, self.report, self.rewatch, self.observe, self.winding_up):
+        for timer in (self.alarm, self.report, self.rewatch, self.observe, self.winding_up,
+                      self.journal_retry):
             if timer is not None:
                 timer.cancel()
         if self.overseer is not None:
@@ -219,6 +233,7 @@
         if drain:
             drain -= sum(draining(self.catalog.packed.get(dest, b"")) for dest in self.used)
         self.metrics.cluster_unhealthy = avoided + drain
+        self.metrics.journal_failing = int(self.journal.failing)
         self.observe = asyncio.get_running_loop().call_later(OBSERVE_EVERY, self._observe)
 
     # ---- the start
@@ -298,12 +313,14 @@
             if not self.stopping and self.handover.take():
                 self.journal.take_up()
                 await self._serve(inherited)
-        while not self.stopping and (self.handover is not None or self.journal.foreign):
+        while not self.stopping and (
+                self.handover is not None or self.journal.foreign or self.journal.unreadable):
             self._recover(self.journal.take_up())
             self._hear()
             if self.handover is not None and not self.journal.foreign:
                 self.handover.forget()
-            await asyncio.sleep(LOOK_EVERY if self.journal.foreign else LOOK_SELDOM)
+            soon = self.journal.foreign or self.journal.unreadable
+            await asyncio.sleep(LOOK_EVERY if soon else LOOK_SELDOM)
 
     def _hear(self) -> None:
         """What the process before us leaves: all that it knew, then how each of its calls ended."""
@@ -481,6 +498,8 @@
         self._admit({a.call: a for a in actions if isinstance(a, io.Refuse | io.Fail)})
         for action in actions:
             self._carry_out(action)
+        if self.journal.failing and self.journal_retry is None:
+            self._retry_journal_later()
 
     def _admit(self, ends: dict[str, io.Refuse | io.Fail]) -> None:
         """Answer the newcomers: what the Pacer did not end in this turn is taken on, once it is on record."""
@@ -498,7 +517,7 @@
                     continue
             entry = Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body)
             if not reply.wanted or not self.journal.taken(entry):
-                reply.busy(0)
+                reply.busy(self.pacer.store_again() // MS)
                 self.metrics.ended(End.DEFERRED, request.klass)
                 self._post(io.Withdrawn(ref))
                 continue
@@ -547,6 +566,10 @@
         started, attempt, zone = self.pacer.now, message.attempts, self.zones.get(send.host, -1)
         zones = self.config.zone_names
         message.attempts += 1
+        if not self.journal.can_record(send.call):
+            self._post(io.Verdict(
+                send.call, attempt, send.host, io.Status.ABANDONED, 0, False, 0, False, None))
+            return
         written = False
 
         def prepare() -> net.Ask | None:
@@ -613,8 +636,7 @@
             if message.exchange is None:
                 del self.held[ref]
         elif ref in self.journal.entries:
-            self.journal.ended(ref, result, wait_ms)
-            self.notices.tell(ref, result, wait_ms)
+            self._record_end(ref, result, wait_ms)
 
     def _may_be_late(self, message: Held) -> bool:
         """Whether a delivery may have come when the message's time was up as its client counts it, which is
@@ -636,6 +658,34 @@
         self.metrics.current -= 1
         if end is not None:
             self.metrics.ended(end, message.klass)
-        self.journal.ended(message.ref, result, wait_ms)
-        if result is not None:
-            self.notices.tell(message.ref, result, wait_ms)
+        self._record_end(message.ref, result, wait_ms)
+
+    # ---- what the disk did not take
+
+    def _record_end(self, ref: str, result: str | None, wait_ms: int) -> None:
+        """Write an end down and tell it, in this order: a kill between the two must not undo what is told."""
+        entry = self.journal.entries.get(ref)
+        recorded = self.journal.ended(ref, result, wait_ms)
+        if result is None:
+            return
+        if recorded or entry is None:
+            self.notices.tell(ref, result, wait_ms)
+            return
+        self.unrecorded[ref] = UnrecordedEnd(result, wait_ms, entry.deadline)
+        if self.journal_retry is None:
+            self._retry_journal_later()
+
+    def _retry_journal_later(self) -> None:
+        self.journal_retry = asyncio.get_running_loop().call_later(JOURNAL_RETRY, self._retry_journal)
+
+    def _retry_journal(self) -> None:
+        """Write what the disk did not take before, and tell what may be told by now."""
+        self.journal_retry = None
+        flushed = self.journal.flush()
+        now_ms = time.time_ns() // MS
+        for ref, end in list(self.unrecorded.items()):
+            if flushed or now_ms >= end.deadline:
+                del self.unrecorded[ref]
+                self.notices.tell(ref, end.result, end.wait_ms)
+        if not flushed:
+            self._retry_journal_later()
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -52,6 +52,7 @@
 ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
 ASK_WITHIN = 11 * SECOND // 2  # from a call that came to nothing to the next, which is answered before that
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
+STORE_AGAIN = SECOND  # until a disk that is full or fails may have room again
 MOST_USED = 1024  # destinations that are known without need: some seconds' traffic of a relay that sees many
 LOOKS = 4  # at what may be let go, each turn
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
@@ -141,6 +142,7 @@
     arrived: int
     deadline: int
     attempts: int = 0
+    abandoned: int = 0  # of these, those of which nothing was ever written
     call: Call | None = None
     not_before: int = 0
     ran_at: int | None = None  # when the first attempt that may have run was sent
@@ -353,7 +355,7 @@
 
     def on_arrived(self, event: Arrived) -> None:
         if not event.storable:  # what cannot be kept is not taken on
-            self.actions.append(Refuse(event.call, 0))
+            self.actions.append(Refuse(event.call, self.store_again()))
             return
         klass = self.settings.classes[event.klass]
         worth = klass.worth
@@ -371,6 +373,11 @@
         for route in self.routes.get(event.dest, ()):
             self.mark(route.arrived, SENT_SPAN)
 
+    def store_again(self) -> int:
+        """After how long a client may come again whose message could not be kept; 0 where none is told."""
+        limits = self.settings.limits
+        return min(STORE_AGAIN, limits.max_retry_after) if limits.retry_after else 0
+
     def on_recovered(self, r: Recovered) -> None:
         """Take up again what an earlier life held: its attempts count on, and so does what may have run."""
         klass = self.settings.classes[r.klass]
@@ -397,7 +404,8 @@
 
     def is_spent(self, m: Message) -> bool:
         """Whether no further attempt is open to a message that has none out."""
-        return (m.attempts >= self.settings.limits.most_tries or not self.may_repeat(m, None)
+        tries = m.attempts - m.abandoned
+        return (tries >= self.settings.limits.most_tries or not self.may_repeat(m, None)
                 or self.now >= m.deadline - 2 * self.settings.tick)
 
     def worth_at(self, m: Message, when: int) -> float:
@@ -500,6 +508,8 @@
         call, m.call = m.call, None
         if m.owed and v.status not in (Status.ABANDONED, Status.CONNECT_FAILED):  # a call has been written
             self.pay(m)
+        if v.status is Status.ABANDONED:
+            m.abandoned += 1
         call.open -= 1
         if call.open == 0:
             call.dest.calls.remove(call)
@@ -524,7 +534,8 @@
         elif self.is_spent(m) or v.status is Status.MOOT and not v.no_slot:
             self.end(m)  # moot, but not for want of a slot: no further attempt would go out either
         else:  # back into the hold, on a timer that grows with its attempts
-            pause = min(REST << min(m.attempts - 1, 8), m.klass.aim)
+            tries = max(1, m.attempts - m.abandoned)
+            pause = min(REST << min(tries - 1, 8), m.klass.aim)
             m.not_before = self.now + round(pause * self.random.uniform(0.5, 1.0))
             self.waiting.setdefault(m.dest, {})[m.name] = m
             heapq.heappush(self.expiry, (m.deadline - 2 * self.settings.tick, m.name))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -26,7 +26,7 @@
     assert figures == dict.fromkeys((
         "answered_total/filing", "answered_total/notice", "deferred_total/filing", "deferred_total/notice",
         "errored_total/filing", "errored_total/notice", "sends_total", "current", "cluster_size",
-        "cluster_unhealthy"), 0)
+        "cluster_unhealthy", "journal_failing"), 0)
 
 
 def test_a_class_name_cannot_break_its_line() -> None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -68,6 +68,7 @@
     second = opened(tmp_path)
     first = opened(tmp_path)
     assert first.taken(entry("a"))
+    assert first.own is not None
     before = first.own.path
     struck = tmp_path / "kept"
     shutil.copy(before, struck)
@@ -122,6 +123,7 @@
 def test_disk_is_shared_with_a_process_that_is_not_gone_yet(tmp_path: Path) -> None:
     """Each was told that the folder is its own: the first may have filled it."""
     before = Ownership(tmp_path, DISK, shared=False)
+    assert before.own is not None
     n = 0
     while before.own.live < 0.3 * DISK:
         assert before.taken(entry(f"m{n}", 2000))
