--- a/tests/test_failing_disk.py
+++ b/tests/test_failing_disk.py
@@ -12,14 +12,15 @@
 import pytest
 
 from garnetrelay.journal import Entry, Journal
+from garnetrelay.ownership import Ownership
 from tests.sockets import Client, Field, until
 
 DISK = 3_000_000
 ERRORS = [errno.ENOSPC, errno.EIO, errno.EDQUOT]
 
 
-def entry(ref: str, body: bytes = b"body") -> Entry:
-    return Entry(ref, "unsafe", 3, "k", time.monotonic_ns() // 1_000_000 + 60_000, body)
+def entry(ref: str, klass: str = "unsafe", patience_ms: int = 60_000) -> Entry:
+    return Entry(ref, klass, 3, "k", time.time_ns() // 1_000_000 + patience_ms, b"body")
 
 
 class FailingDisk:
@@ -212,3 +213,64 @@
     await until(lambda: not field.relays[0].journal.failing)
     assert await client.enqueue("m1") == b"OK"
     (await field.host.next_call()).answer(200)
+
+
+async def test_message_whose_attempt_cannot_be_recorded_goes_out_when_the_disk_is_well(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    client = await field.start()
+    await field.warm(client)
+    write, left = os.write, [1]
+
+    def takes_one_record(file: int, data: Any) -> int:
+        left[0] -= 1
+        if left[0] < 0:
+            raise OSError(errno.EIO, "Input/output error")
+        return write(file, data)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", takes_one_record)
+        assert await client.enqueue("m1", "unsafe") == b"OK"
+        await asyncio.sleep(0.5)
+        assert field.host.calls.empty() and "m1" in field.relays[0].held
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "m1"
+    call.answer(200)
+    await until(lambda: not field.relays[0].held)
+
+
+@pytest.mark.parametrize("calls", [("open",), ("pread",), ("open", "unlink", "ftruncate"), ("listdir",)])
+async def test_start_while_the_folder_fails_serves_and_picks_up_what_is_there_later(
+    field: Field, monkeypatch: pytest.MonkeyPatch, calls: tuple[str, ...]
+) -> None:
+    before = Journal(field.state, DISK)
+    assert before.taken(entry("old", "safe", 8000))
+    before.close()
+    disk = FailingDisk(monkeypatch, errno.EIO, calls)
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG" and disk.failed
+    if calls != ("listdir",):
+        assert (await client.enqueue("m1")).startswith("BUSY")
+    disk.failing = False
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "old"
+    call.answer(200)
+    await until(lambda: not field.relays[0].journal.failing)
+    assert await client.enqueue("m2") == b"OK"
+
+
+def test_journal_that_cannot_be_removed_is_removed_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first = Ownership(tmp_path, DISK, shared=True)
+    assert first.taken(entry("m1"))
+    second = Ownership(tmp_path, DISK, shared=True)
+    first.close()
+    assert [one.ref for one in second.take_up()] == ["m1"]
+    disk = FailingDisk(monkeypatch, errno.EIO, ("unlink",))
+    second.ended("m1", None)
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["journal", "journal.1"]
+    disk.failing = False
+    assert second.taken(entry("m2"))
+    second.ended("m2", None)
+    assert [path.name for path in tmp_path.iterdir()] == ["journal.1"]
