--- a/garnetrelay/keptlist.py
+++ b/garnetrelay/keptlist.py
@@ -22,6 +22,7 @@
 from pathlib import Path
 
 from garnetrelay.catalog import Catalog
+from garnetrelay.files import close_quietly, remove_quietly, write_all
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +35,8 @@
 PAUSE = 0.005  # seconds between two slices
 ANEW_SHARE = 0.25  # of the whole list's size: changes beyond that are worth writing it anew
 ANEW_FROM = 64 * 1024  # bytes of changes below which they are not
-AGAIN_AFTER = 600.0  # seconds after the whole list could not be written: the disk may have room again
+AGAIN_AFTER = 600.0  # seconds after the whole list was too long for its room: it may have shrunk
+AGAIN_AFTER_ERROR = 5.0  # seconds after it could not be written: the disk may be well again
 
 
 class KeptList:
@@ -46,12 +48,16 @@
         self.spare = folder / "list.new"
         self.most = most_bytes  # for the file and the one that takes its place together
         self.header = json.dumps({"format": FORMAT, "zones": list(zones), "kinds": list(kinds)}).encode()
-        self.lock = os.open(folder / "list.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self.lock_path = folder / "list.lock"
+        self.lock: int | None = None  # until the lock is first wanted
         self.file: int | None = None  # holds the whole list, and its changes are appended
         self.whole_size = 0
         self.size = 0
         self.writing: asyncio.Task[None] | None = None
         self.changed: set[int] = set()  # while the whole list is written: what has changed meanwhile
+        self.failing = False  # it could not be written lately
+        self.catalog: Catalog | None = None  # what is to be on the disk
+        self.again: asyncio.TimerHandle | None = None  # the next try after one that failed
         self.not_before = 0.0  # when the whole list may be written again
 
     def load(self, catalog: Catalog, known: int) -> bool:
@@ -77,6 +83,7 @@
 
     def keep(self, catalog: Catalog, changed: set[int], whole: bool) -> None:
         """What has been taken over is to be on the disk, too."""
+        self.catalog = catalog
         if not self._holds_lock():
             return
         if self.writing is not None and not self.writing.done() and not whole:
@@ -90,16 +97,24 @@
     def close(self) -> None:
         if self.writing is not None:
             self.writing.cancel()
+        if self.again is not None:
+            self.again.cancel()
         for file in (self.file, self.lock):
             if file is not None:
-                os.close(file)
-        self.file = None
+                close_quietly(file)
+        self.file = self.lock = None
 
     def _holds_lock(self) -> bool:
         try:
+            if self.lock is None:
+                self.lock = os.open(self.lock_path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             return False  # the process before us; the whole list is written once it is gone
+        except OSError as error:
+            self._note_failure(str(error.strerror))
+            self._try_again_after(AGAIN_AFTER_ERROR)
+            return False
         return True
 
     # ---- reading
@@ -134,25 +149,41 @@
     def _append(self, file: int, sort: bytes, payload: bytes) -> bool:
         record = _record(sort, payload)
         if self.size + len(record) > self.most // 2:
-            return self._give_up(f"over {self.most // 2} bytes")
+            return self._give_up(f"over {self.most // 2} bytes", AGAIN_AFTER)
         try:
-            if os.write(file, record) < len(record):
-                return self._give_up("the disk is full")
+            write_all(file, record)
         except OSError as error:
-            return self._give_up(str(error.strerror))
+            return self._give_up(str(error.strerror), AGAIN_AFTER_ERROR)
         self.size += len(record)
+        self.failing = False
         return True
 
-    def _give_up(self, why: str) -> bool:
+    def _note_failure(self, why: str) -> None:
+        """Said once, not at each change of the list."""
+        if not self.failing:
+            log.warning("the list on the disk is left as it is: %s", why)
+        self.failing = True
+
+    def _give_up(self, why: str, again_after: float) -> bool:
         """What stands there stays good for its own version, and a torn end is passed over. But no further
         change may be appended: what could not be written would be missing before it."""
-        log.warning("the list on the disk is left as it is: %s", why)
-        self.not_before = asyncio.get_running_loop().time() + AGAIN_AFTER
+        self._note_failure(why)
+        self.not_before = asyncio.get_running_loop().time() + again_after
+        self._try_again_after(again_after)
         if self.file is not None:
-            os.close(self.file)
+            close_quietly(self.file)
             self.file = None
         return False
 
+    def _try_again_after(self, seconds: float) -> None:
+        if self.again is not None:
+            self.again.cancel()
+        self.again = asyncio.get_running_loop().call_later(seconds, self._try_again)
+
+    def _try_again(self) -> None:
+        if self.catalog is not None and self.file is None:
+            self.keep(self.catalog, set(), whole=True)
+
     def _write_anew(self, catalog: Catalog) -> None:
         if self.writing is not None:
             self.writing.cancel()
@@ -182,19 +213,19 @@
             if self.changed:
                 done = done and self._append(new, CHANGE, _changes(catalog, self.changed))
             if not done:
-                self.spare.unlink(missing_ok=True)
+                remove_quietly(self.spare)
                 return
             os.rename(self.spare, self.path)
             if self.file is not None:
-                os.close(self.file)
+                close_quietly(self.file)
             self.file, new, self.whole_size, before = new, None, self.size, (self.size, self.size)
             log.info("list version %d is kept: %d bytes", catalog.version, self.size)
         except OSError as error:
-            self._give_up(str(error.strerror))
+            self._give_up(str(error.strerror), AGAIN_AFTER_ERROR)
         finally:
             self.size, self.whole_size = before
             if new is not None:
-                os.close(new)
+                close_quietly(new)
 
 
 def _changes(catalog: Catalog, dests: Iterable[int]) -> bytes:
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -45,6 +45,11 @@
         for journal in self.journals.values():
             journal.close()
 
+    @property
+    def incomplete(self) -> bool:
+        """Whether there may be more to take up: another process's, or what cannot be opened just now."""
+        return bool(self.foreign or self.unreadable) or self.own is None
+
     @property
     def failing(self) -> bool:
         """Whether some record cannot be written just now."""
@@ -52,14 +57,13 @@
 
     def flush(self) -> bool:
         """Write what could not be written before. Whether nothing is left to write."""
-        if self.own is None:
-            self.own = self._create()
         flushed = [journal.flush() for journal in self.journals.values()]
         self._tidy()
         return self.own is not None and all(flushed)
 
     def take_up(self) -> list[Entry]:
-        """Take every journal that nobody holds; the messages and notices that are ours from now on."""
+        """Take every journal that nobody holds, and open one of our own where that was not possible before;
+        the messages and notices that are ours from now on."""
         taken: list[Entry] = []
         try:
             names = sorted(path.name for path in self.folder.iterdir() if NAME.fullmatch(path.name))
@@ -84,6 +88,9 @@
                 taken += self._add(journal)
         self.foreign = foreign
         self.seen = self.seen | {entry.ref for entry in taken} if self.foreign else set()
+        if self.own is None and (own := self._create()) is not None:
+            self.own = own
+            taken += own.entries.values()
         self._tidy()
         return taken
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -137,7 +137,7 @@
         inherited = None if descriptor is None else socket.socket(fileno=descriptor)
         if self.handover is None or self.handover.take():
             await self._serve(inherited)
-        if self.handover is not None or self.journal.foreign or self.journal.unreadable:
+        if self.handover is not None or self.journal.incomplete:
             self.overseer = asyncio.get_running_loop().create_task(self._oversee(inherited))
         self.health.ready = not self.stopping  # SIGTERM may have come meanwhile
         if self.server.address is None:
@@ -313,14 +313,12 @@
             if not self.stopping and self.handover.take():
                 self.journal.take_up()
                 await self._serve(inherited)
-        while not self.stopping and (
-                self.handover is not None or self.journal.foreign or self.journal.unreadable):
+        while not self.stopping and (self.handover is not None or self.journal.incomplete):
             self._recover(self.journal.take_up())
             self._hear()
             if self.handover is not None and not self.journal.foreign:
                 self.handover.forget()
-            soon = self.journal.foreign or self.journal.unreadable
-            await asyncio.sleep(LOOK_EVERY if soon else LOOK_SELDOM)
+            await asyncio.sleep(LOOK_EVERY if self.journal.incomplete else LOOK_SELDOM)
 
     def _hear(self) -> None:
         """What the process before us leaves: all that it knew, then how each of its calls ended."""
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import logging
 import random
@@ -22,6 +23,7 @@
 from garnetrelay.keptlist import KeptList
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
+from tests.faults import FailingDisk
 from tests.sockets import Client, Field, HttpServer, endpoint, listing, until
 
 RUNNING, STOPPING, DELETED = io.Availability.RUNNING, io.Availability.STOPPING, io.Availability.DELETED
@@ -268,6 +270,23 @@
     other.close()
 
 
+@pytest.mark.parametrize("calls", [("write",), ("open",), ("rename",)])
+async def test_list_that_the_disk_did_not_take_is_written_when_it_is_well_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, calls: tuple[str, ...]) -> None:
+    """With no further change of the list."""
+    monkeypatch.setattr(keptlist, "AGAIN_AFTER_ERROR", 0.05)
+    catalog, kept = Catalog(), kept_list(tmp_path)
+    disk = FailingDisk(monkeypatch, errno.ENOSPC, calls)
+    await keep(kept, catalog, committed(catalog, 7, True, one("a")), True)
+    await keep(kept, catalog, committed(catalog, 8, False, one("b")), False)
+    assert kept.file is None and disk.failed
+    disk.failing = False
+    await until(lambda: kept.file is not None)
+    restored = Catalog()
+    assert kept.load(restored, known=0) and restored.version == 8 and set(restored) == {"a", "b"}
+    kept.close()
+
+
 # ---- the relay
 
 
--- a/tests/test_failing_disk.py
+++ b/tests/test_failing_disk.py
@@ -13,6 +13,7 @@
 
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.ownership import Ownership
+from tests.faults import FailingDisk
 from tests.sockets import Client, Field, until
 
 DISK = 3_000_000
@@ -23,25 +24,6 @@
     return Entry(ref, klass, 3, "k", time.time_ns() // 1_000_000 + patience_ms, b"body")
 
 
-class FailingDisk:
-    """Makes system calls on files fail while ``failing`` is set."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, number: int, calls: tuple[str, ...]) -> None:
-        self.failing = True
-        self.failed = 0
-        for name in calls:
-            monkeypatch.setattr(os, name, self._replaced(getattr(os, name), number))
-
-    def _replaced(self, call: Any, number: int) -> Any:
-        def replaced(*args: Any, **options: Any) -> Any:
-            if self.failing:
-                self.failed += 1
-                raise OSError(number, os.strerror(number))
-            return call(*args, **options)
-
-        return replaced
-
-
 @pytest.mark.parametrize("number", ERRORS)
 def test_message_that_ended_while_the_disk_was_full_does_not_come_back(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, number: int
