--- a/tests/test_failing_disk.py
+++ b/tests/test_failing_disk.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from garnetrelay.handover import Handover
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.ownership import Ownership
 from tests.faults import FailingDisk
@@ -256,3 +257,58 @@
     assert second.taken(entry("m2"))
     second.ended("m2", None)
     assert [path.name for path in tmp_path.iterdir()] == ["journal.1"]
+
+
+# ---- what a process leaves for its successor
+
+
+def test_hand_over_that_the_disk_takes_in_pieces_comes_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old, new = Handover(tmp_path, 100_000), Handover(tmp_path, 100_000)
+    assert old.take() and not new.take()
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda file, data: write(file, bytes(data)[:10]))
+    old.pass_on({"learned": {"hosts": {}}, "out": 1})
+    old.tell({"told": "s-1", "wait": 5})
+    assert new.take() and new.read() == [{"learned": {"hosts": {}}, "out": 1}, {"told": "s-1", "wait": 5}]
+
+
+@pytest.mark.parametrize("number", ERRORS)
+def test_line_of_the_hand_over_that_failed_spoils_none_behind_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    old, new = Handover(tmp_path, 100_000), Handover(tmp_path, 100_000)
+    assert old.take()
+    old.pass_on({"learned": {}, "out": 1})
+    write, failing = os.write, [True]
+
+    def half(file: int, data: Any) -> int:
+        if failing[0] and len(data) < 10:
+            raise OSError(number, os.strerror(number))
+        return write(file, bytes(data)[: len(data) - 5] if failing[0] else data)
+
+    monkeypatch.setattr(os, "write", half)
+    old.tell({"told": "s-1", "wait": 5})
+    failing[0] = False
+    old.tell({"told": "s-2", "wait": 6})
+    assert new.take()
+    lines = new.read()
+    assert {"told": "s-1", "wait": 5} in lines and {"told": "s-2", "wait": 6} in lines
+
+
+@pytest.mark.parametrize("calls", [("open",), ("read",), ("unlink",)])
+def test_hand_over_that_fails_ends_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, calls: tuple[str, ...]
+) -> None:
+    old = Handover(tmp_path, 100_000)
+    assert old.take()
+    old.pass_on({"learned": {}, "out": 0})
+    disk = FailingDisk(monkeypatch, errno.EIO, calls)
+    new = Handover(tmp_path, 100_000)
+    taken = new.take()
+    assert new.read() == [] or calls == ("unlink",)
+    new.forget()
+    disk.failing = False
+    assert taken or new.take()
+    assert calls == ("unlink",) or new.read() == [{"learned": {}, "out": 0}]
