--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -183,6 +183,8 @@
         if self.passed_on:
             self._hand_over()
             self.server.close_silent()
+            if self.handover is not None:
+                self.handover.flush()
         if (self.server.stopped and self.server.quiet and not self.newcomers and not self.held
                 and not self.notices.queue and not self.unrecorded):
             self.finished.set()
