Look at the backlog until it is empty, and blame no destination for our own machine

Cause: the last look at those who had connected ended at the first error of accept and closed the listener, which resets them; an option that could not be set on an accepted connection closed it with nobody to hear of it; each connect that failed by our own machine's doing was a bad outcome of its destination and used up one of the twelve attempts; poll's errors got out. Change: the listener is closed once accept finds nobody, or at the end of the process; local errors of connect (LOCAL_ERRORS) abandon the attempt, which is tried again after a pause and not counted, and are said once; a poll that fails is taken for the harder case. Connection.usable takes what that is and is named is_usable; its two uses in test_relay follow.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import logging
-import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 import hiredis
 
-from garnetrelay.streams import BufferedReader, new_buffer
+from garnetrelay.streams import BufferedReader, has_unread, new_buffer
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +31,8 @@
 BACKLOG = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 2  # in a turn of the loop: one that is shut out holds a descriptor for three turns
 ACCEPT_AGAIN = 0.1  # seconds without accepting where no descriptor is left
+ACCEPT_LAST = 0.02  # the same, for those who have connected as the relay stops listening
+NO_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # of accept: worth another try later
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -315,9 +318,7 @@
             return False
         if transport is None or transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if poll.poll(0):
+        if has_unread(transport, unknown=True):
             return False
         self.closing = True
         self.hang_up()
@@ -388,15 +389,25 @@
                 loop.remove_reader(self._listener)
                 self._retry = loop.call_later(ACCEPT_AGAIN, self._accept_on)
                 return
-            accepted.setblocking(False)
-            task = loop.create_task(self._take_up(accepted))
-            self._coming.add(task)
-            task.add_done_callback(self._coming.discard)
+            self._begin(accepted)
+
+    def _begin(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        task = asyncio.get_running_loop().create_task(self._take_up(accepted))
+        self._coming.add(task)
+        task.add_done_callback(self._coming.discard)
 
     async def _take_up(self, accepted: socket.socket) -> None:
-        # The loop does so by itself only where the listener was made with its protocol named.
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
+        # Without the protocol's number the loop leaves this option alone; where it sets it, an error costs
+        # the connection.
+        accepted = socket.socket(accepted.family, accepted.type, 0, fileno=accepted.detach())
+        with contextlib.suppress(OSError):  # the connection is good without
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
+        except OSError as error:
+            log.warning("a connection cannot be taken up: %s", error.strerror)
+            accepted.close()
 
     def _stop_listening(self) -> None:
         """Who has connected already is served: a close would reset what they have sent. At the platform's
@@ -405,14 +416,29 @@
             return
         if self._retry is not None:
             self._retry.cancel()
-        if not self._shared:
-            self._accept(BACKLOG)
-        if self._retry is not None:
-            self._retry.cancel()
-        asyncio.get_running_loop().remove_reader(self._listener)
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        if not self._shared and not self._accept_all():
+            self._retry = loop.call_later(ACCEPT_LAST, self._stop_listening)
+            return
         self._listener.close()
         self._listener = None
 
+    def _accept_all(self) -> bool:
+        """Take up all that have connected. Whether nobody waits any more, as far as the kernel says so."""
+        assert self._listener is not None
+        for _ in range(2 * BACKLOG):
+            try:
+                accepted, _address = self._listener.accept()
+            except BlockingIOError:
+                return True
+            except OSError as error:  # most tell of one connection alone: the next may be well
+                if error.errno in NO_RESOURCES:
+                    return False
+            else:
+                self._begin(accepted)
+        return False
+
     def touch(self, connection: Connection) -> None:
         """A request has come on a connection: it is the last that would go."""
         connection.quiet_from = asyncio.get_running_loop().time()
@@ -451,7 +477,7 @@
     def quiet(self) -> bool:
         """Whether nobody is owed an answer or about to ask: the process may end."""
         lately = asyncio.get_running_loop().time() - FIRST_REQUEST
-        return not self._coming and not any(
+        return self._listener is None and not self._coming and not any(
             not connection.lost and not connection.closing
             and (connection.replies or connection.unread or connection.quiet_from > lately)
             for connection in self.connections)
@@ -466,6 +492,7 @@
 
     async def end(self) -> None:
         """The process ends: what has been answered still reaches its client."""
+        self._stop_listening()
         for connection in list(self.connections):
             if connection.unread:  # read in part: its client writes the rest, and waits
                 connection.fail("the process ends", busy=True)
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -8,10 +8,10 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import math
 import re
-import select
 import socket
 import time
 from collections import deque
@@ -21,7 +21,7 @@
 import h11
 
 from garnetrelay.config import Address
-from garnetrelay.streams import BufferedReader, new_buffer
+from garnetrelay.streams import BufferedReader, has_unread, new_buffer
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -34,6 +34,10 @@
 STALE_TIME = 0.1  # seconds, a trip there and back: so soon breaks a call on what its host had closed
 DELIVERED = re.compile(rb"HTTP/\d\.\d 200(?: [^\r\n]*)?\r?\n")  # a first line that holds, whatever follows
 LEAST_LIMIT = 1e-6  # calls a second: a report of less is none, and the time for one call must stay a number
+LOCAL_ERRORS = frozenset({  # of connecting: our own machine's doing, which says nothing of the host
+    errno.EACCES, errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EMFILE,
+    errno.ENETDOWN, errno.ENETUNREACH, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM,
+})
 DRAIN_TIME = 0.5  # seconds for what is left of an answer whose outcome is known
 
 
@@ -199,15 +203,13 @@
         self.data_received(b"")
         return False
 
-    @property
-    def usable(self) -> bool:
+    def is_usable(self, unknown: bool) -> bool:
         """Idle, and nothing (an end, above all) has come on it since: a look at the socket itself, as what
-        lies there may not have reached us yet, and a call written behind it would end as a reset."""
+        lies there may not have reached us yet, and a call written behind it would end as a reset.
+        ``unknown`` where the kernel cannot say just now."""
         if self.transport is None or self.transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not has_unread(self.transport, not unknown)
 
     def resume_writing(self) -> None:
         self.whole = True
@@ -330,6 +332,7 @@
         self.open: set[Connection] = set()
         self.idle: dict[str, deque[Connection]] = {}
         self.opening: set[asyncio.Task[None]] = set()
+        self.cannot_connect = False  # the latest connection failed by our own machine's doing
 
     def place(self, host: str, address: Address, draining: bool, started: int) -> None:
         """Where a host listens now; connections to elsewhere, to one that drains, or to a process that has
@@ -351,7 +354,7 @@
         idle = self.idle.get(exchange.host)
         while idle:
             connection = idle.pop()  # the latest used: the others may age and go
-            if connection.usable:
+            if connection.is_usable(unknown=False):
                 self._go(connection, exchange)
                 return
             connection.abort()
@@ -374,10 +377,15 @@
                     # It was taken up, then broke, with nothing of the call sent: a host that is down refuses.
                     connection = await self._open(exchange.host, address)
         except (OSError, TimeoutError) as error:
+            if error.errno in LOCAL_ERRORS:
+                self._cannot_connect(error)
+                exchange.end(Outcome(io.Status.ABANDONED))
+                return
             log.info("host %s: no connection, %d open: %s", exchange.host,
                      sum(one.host == exchange.host for one in self.open), str(error) or type(error).__name__)
             exchange.end(Outcome(io.Status.CONNECT_FAILED))
             return
+        self._can_connect()
         if exchange.ended:
             self.rest(connection)
         elif self.addresses.get(exchange.host) != address:  # it has moved: here may be another
@@ -386,11 +394,22 @@
         else:
             self._go(connection, exchange)
 
+    def _cannot_connect(self, error: OSError) -> None:
+        """Said once, not for each call."""
+        if not self.cannot_connect:
+            log.warning("this machine cannot open connections: %s", error.strerror or error)
+        self.cannot_connect = True
+
+    def _can_connect(self) -> None:
+        if self.cannot_connect:
+            log.info("this machine can open connections again")
+        self.cannot_connect = False
+
     async def _open(self, host: str, address: Address) -> Connection:
         _, connection = await asyncio.get_running_loop().create_connection(
             lambda: Connection(self, host, address), address.host, address.port)
-        if not connection.usable:  # it broke before we came to run: a call written now would have no outcome
-            connection.abort()
+        if not connection.is_usable(unknown=True):
+            connection.abort()  # it broke before we came to run: a call written now would have no outcome
             raise ConnectionResetError("broken as it came up")
         return connection
 
--- a/garnetrelay/streams.py
+++ b/garnetrelay/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from abc import ABC, abstractmethod
 
 READ_SIZE = 64 * 1024
@@ -31,3 +32,14 @@
 
 def new_buffer() -> memoryview:
     return memoryview(bytearray(READ_SIZE))
+
+
+def has_unread(transport: asyncio.Transport, unknown: bool) -> bool:
+    """Whether something (an end, above all) has come that the loop has not read yet; ``unknown`` where the
+    kernel cannot say just now."""
+    poll = select.poll()
+    try:
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+    except OSError:
+        return unknown
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -381,10 +381,10 @@
     await until(lambda: not field.relays[0].held)
     await until(lambda: any(net.idle.values()))
     idle = net.idle["s-1"][0]
-    assert idle.transport is not None and idle.usable
+    assert idle.transport is not None and idle.is_usable(unknown=True)
     idle.transport.pause_reading()  # the loop is too busy to see it
     call.break_off()
-    await until(lambda: not idle.usable)
+    await until(lambda: not idle.is_usable(unknown=True))
     await client.enqueue("m2", "unsafe")
     second = await field.host.next_call()
     assert second.headers["x-request-id"] == "m2" and second.connection != call.connection
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -136,3 +136,21 @@
     call = await field.host.next_call()
     call.answer(200)
     await until(lambda: not field.relays[0].held)
+async def test_option_of_a_connection_that_cannot_be_set_costs_its_client_nothing(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    await field.start()
+    address = field.relays[0].server.address
+    assert address is not None
+    set_option = socket.socket.setsockopt
+
+    def fails(self: socket.socket, level: int, option: int, *value: Any) -> None:
+        if option == socket.TCP_NODELAY and self.getsockname()[1] == address[1]:
+            raise OSError(errno.ENOBUFS, "No buffer space available")
+        set_option(self, level, option, *value)
+
+    monkeypatch.setattr(socket.socket, "setsockopt", fails)
+    client = await Client.connect(address[1])
+    assert await client.enqueue("m1") == b"OK"
+    (await field.host.next_call()).answer(200)
+
+
