--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,14 +29,16 @@
         self.mgmt: int | None = None
         self.inherited: int | None = None
         self.child: asyncio.subprocess.Process | None = None
+        self.module = "garnetrelay"  # what python runs
+        self.extra: dict[str, str] = {}  # of its environment
         self.log: list[str] = []  # as far as it has been read
 
     async def start(self, until: str = "serves on") -> Client:
-        environment = {**os.environ, **self.field.environment(self.port, self.mgmt)}
+        environment = {**os.environ, **self.field.environment(self.port, self.mgmt), **self.extra}
         if self.inherited is not None:
             environment["RELAY_INHERITED_FD"] = str(self.inherited)
         self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "garnetrelay", cwd=ROOT, env=environment,
+            sys.executable, "-m", self.module, cwd=ROOT, env=environment,
             stderr=asyncio.subprocess.PIPE, pass_fds=() if self.inherited is None else (self.inherited,))
         await self.says(until)
         return await Client.connect(self.port)
