Ramp behind failures that lasted, told waits that no limit makes, and resets of calls that hung

Cause: a relay whose part of the listed rate is over a call in 'fall' took an outage that it saw as one bad outcome for none; a reset of a call that was overdue already moved neither the outage's end nor the next trial, so all relays probed at once and the ramp began years back; waits of up to 2 s, and refusals of up to 2 s, counted as a limit's; a failed trial shortened the spacing that a later call had set. Change: a failure (no refusal) with no good answer for 'fall' before is an outage for every relay; a reset of an overdue call is the latest failure and spaces the next; a limit's longest wait is 1.2 s, or two calls of the listed rate.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -52,6 +52,7 @@
 ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
 ASK_WITHIN = 11 * SECOND // 2  # from a call that came to nothing to the next, which is answered before that
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
+LIMIT_SPAN = 6 * SECOND // 5  # a limit's second, and some for what tells of it late
 STORE_AGAIN = SECOND  # until a disk that is full or fails may have room again
 MOST_USED = 1024  # destinations that are known without need: some seconds' traffic of a relay that sees many
 LOOKS = 4  # at what may be let go, each turn
@@ -105,6 +106,7 @@
     bad: float = 0.0  # share of bad outcomes at all its hosts, newest weigh most
     bad_from: int | None = None  # first bad outcome since it was well
     bad_at: int = 0  # the latest
+    failed_at: int = 0  # the latest failure, or refusal that no limit explains
     out: bool = False  # half open: one trial at a time
     ramp_from: int | None = None  # when it came back, in the mean
     warm_at: int = 0  # the end of the ramp, if it came back as late as it can have
@@ -604,14 +606,26 @@
             self.mark(dest.served, self.settings.rules.ramp_time)
             if cost:
                 dest.mean += (cost - dest.mean) * (MEAN_WEIGHT if dest.mean else 1.0)
-            self.judge(dest, host, True)
+            self.judge(call, True)
         elif status is Status.FULL:
             self.on_refused(call, wait, left)
-        elif status in FAILED and not call.blamed:
-            if status in (Status.RESET, Status.TIMEOUT) and self.answers(dest):
-                self.distrust(host)
-            else:
-                self.judge(dest, host, False)
+        elif status in FAILED:
+            self.on_failed(call, status)
+
+    def on_failed(self, call: Call, status: Status) -> None:
+        """A call that failed, or was given up."""
+        dest = call.dest
+        dest.failed_at = self.now
+        if call.blamed:  # it counted when it was overdue; now it tells how long the trouble has lasted
+            if dest.bad_from is not None:
+                dest.bad_at = self.now
+                # A partner that is back resets what hung there at all relays at once.
+                trial = self.next_cold(dest, self.now, self.random.uniform(0.1, 1.0))
+                dest.next_at = max(dest.next_at, trial)
+        elif status in (Status.RESET, Status.TIMEOUT) and self.answers(dest):
+            self.distrust(call.host)
+        else:
+            self.judge(call, False)
 
     def distrust(self, host: Host) -> None:
         """One connection broke or fell silent; the destination is well."""
@@ -643,7 +657,8 @@
             dest.rest_until += wait
         # A limit says that it is spent. Told to wait longer than one would make, the destination is shut and
         # says when it opens; untold, refusals that last with room left mean the same.
-        if wait > CUT_SPAN:
+        limit_wait = self.limit_wait(dest)
+        if wait > limit_wait:
             self.size_up(dest, dest.refused_from)
             dest.bad_at = dest.ramp_from = self.now + wait
             dest.warm_at = dest.ramp_from + self.settings.rules.ramp_time
@@ -651,9 +666,16 @@
         if not wait and (left is None or left > HALF_LEFT):  # shut, perhaps: see may_be_back
             self.size_up(dest, dest.refused_from)
             dest.bad_at = self.now
-        lasts = 0 if self.turn(dest) > CUT_SPAN else CUT_SPAN - wait  # where turns are rare, two in a row
-        if wait <= CUT_SPAN and (left is None or left > HALF_LEFT) and self.now - dest.refused_from > lasts:
-            self.judge(dest, call.host, False)
+        lasts = 0 if self.turn(dest) > CUT_SPAN else limit_wait - wait  # where turns are rare, two in a row
+        room_left = left is None or left > HALF_LEFT
+        if wait <= limit_wait and room_left and self.now - dest.refused_from > lasts:
+            dest.failed_at = self.now
+            self.judge(call, False)
+
+    def limit_wait(self, dest: Destination) -> int:
+        """The longest wait that a limit would tell: to the end of a span of a second, or until a call is due
+        where it takes few."""
+        return max(LIMIT_SPAN, round(2 * SECOND / dest.listed) if dest.listed else 0)
 
     def pause(self, dest: Destination, refused: bool, left: float | None) -> None:
         """Own rest after a call, for relays that see too few refusals to cut a rate. Grows by refusals (also
@@ -681,8 +703,9 @@
             served = self.rate(dest.served, self.settings.rules.ramp_time)
             dest.part = max(served, dest.listed / self.settings.relays)
 
-    def judge(self, dest: Destination, host: Host, good: bool) -> None:
+    def judge(self, call: Call, good: bool) -> None:
         """Health from outcomes, and when to try again after a bad one."""
+        dest, host = call.dest, call.host
         for one in (dest, host):
             one.bad += BAD_WEIGHT * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
@@ -701,16 +724,20 @@
             dest.bad_at = self.now
             if dest.out:
                 dest.ramp_from = None
-            host.retry_at = dest.next_at = self.next_cold(dest, self.now, self.random.uniform(0.1, 1.0))
+            host.retry_at = self.next_cold(dest, self.now, self.random.uniform(0.1, 1.0))
+            sent_since = any(other.sent_at > call.sent_at for other in dest.calls)  # and paces the next
+            dest.next_at = max(dest.next_at, host.retry_at) if sent_since else host.retry_at
             if dest.out and not was:
                 self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
 
     def may_be_back(self, dest: Destination) -> bool:
-        """Whether an outage may lie behind this good answer: trouble, and none for ``fall`` before. A relay
-        that sees little of a destination sees no more of an outage than one bad outcome."""
-        return (self.sees_little(dest) and dest.bad_from is not None
-                and dest.bad_at > (dest.ramp_from or 0) and not self.is_cold(dest)
-                and (len(dest.served) < 2 or self.now - dest.served[-2] > self.settings.rules.fall))
+        """Whether an outage may lie behind this good answer: trouble, and no other good answer for ``fall``
+        before. A failure since the last one will do; of refusals, which a limit makes too, where this relay
+        sees so little that it sees no more of an outage than one bad outcome."""
+        answered = dest.served[-2] if len(dest.served) > 1 else 0
+        return (dest.bad_from is not None and dest.bad_at > (dest.ramp_from or 0) and not self.is_cold(dest)
+                and self.now - answered > self.settings.rules.fall
+                and (dest.failed_at > answered or self.sees_little(dest)))
 
     def sees_little(self, dest: Destination) -> bool:
         """Whether this relay's part of what a destination takes is under a call in ``fall``, or unknown."""
@@ -748,10 +775,11 @@
             due = call.sent_at + self.late_after(call.dest)
             if due <= self.now:
                 call.blamed = True
+                call.dest.failed_at = self.now
                 if self.answers(call.dest):
                     self.distrust(call.host)
                 else:
-                    self.judge(call.dest, call.host, False)
+                    self.judge(call, False)
             else:
                 self.wake_at = min(self.wake_at, due)
 
