--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -22,7 +22,8 @@
 from fleetlab.result import Result
 from fleetlab.scale import Options, ScaleRun
 
-OTHERS = {"slopes": "fleetlab.slopes"}  # by name of the command: the module that has a function of that name
+# By name of the command: the module that has a function of that name.
+OTHERS = {"slopes": "fleetlab.slopes", "soak": "fleetlab.soak"}
 SHOWN = (
     "offered", "delivered", "delivered_share", "in_time_share", "delivery_p50", "delivery_p99", "answer_p99",
     "hollow_delivered", "changes", "change_told_everywhere_max", "outages", "restarts", "memory", "processes")
--- a/fleetlab/clients.py
+++ b/fleetlab/clients.py
@@ -72,7 +72,8 @@
 
 @dataclass(slots=True, eq=False)
 class Door:
-    """Where a relay's clients connect, and whether the front still sends them there."""
+    """Where a relay's clients connect, and whether the front still sends them there. Where it is ``leaving``
+    they use the connections that they have for as long as these stay open, and open no other."""
 
     relay: str
     host: str
@@ -80,6 +81,14 @@
     open: bool = False
     idle: list[Connection] = field(default_factory=list)
     connections: int = 0  # opened so far
+    leaving: bool = False
+    killed: bool = False  # by a signal that leaves no time for an answer
+    unanswered: int = 0  # requests whose new connection was closed with no answer
+
+    @property
+    def usable(self) -> bool:
+        """Whether a client would hand a message in here."""
+        return self.open or self.leaving and bool(self.idle)
 
     async def ask(self, command: bytes, seconds: float) -> Any:
         """One request on a connection that is free, or on a new one. A request that crossed the close of a
@@ -91,11 +100,17 @@
             with contextlib.suppress(ConnectionError):
                 return await self._on(connection, command, seconds)
             break
+        if not self.open:
+            raise ConnectionRefusedError("no new connections here")
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(seconds):
             _, connection = await loop.create_connection(Connection, self.host, self.port)
         self.connections += 1
-        return await self._on(connection, command, seconds)
+        try:
+            return await self._on(connection, command, seconds)
+        except ConnectionError:
+            self.unanswered += not self.killed
+            raise
 
     async def _on(self, connection: Connection, command: bytes, seconds: float) -> Any:
         try:
@@ -168,9 +183,9 @@
 
     def _door(self, last: str | None) -> Door | None:
         """A relay gets all messages of a key as long as it runs; else the front draws."""
-        if last is not None and self.doors[last].open:
+        if last is not None and self.doors[last].usable:
             return self.doors[last]
-        up = [door for door in self.doors.values() if door.open]
+        up = [door for door in self.doors.values() if door.usable]
         return up[int(self.rng.integers(len(up)))] if up else None
 
     async def _hand_in(self, message: Message, wait: float) -> None:
--- a/fleetlab/realrelays.py
+++ b/fleetlab/realrelays.py
@@ -13,7 +13,7 @@
 import socket
 import time
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -28,6 +28,7 @@
 ANSWER_TIME = 2.0  # seconds for an answer to PING
 GRACE = 3.7  # seconds from SIGTERM to SIGKILL
 DOWN_TIME = 0.6  # seconds from a process's end to its next start
+SIGNALS_APART = 0.1  # seconds between the signals of a series
 KNOCKS_ON = 0.3  # seconds behind SIGTERM in which new connections keep coming
 NOTICED = 1.5  # seconds until the front notices that a relay has died
 COLLECT_AFTER = (50_000, 50, 1000)  # objects; young collections; middle ones
@@ -71,6 +72,7 @@
         self.root = root
         self.door = Door(name, "127.0.0.1", free_port())
         self.usage = Usage()
+        self.environment: dict[str, str] = {}  # beside what every relay is told
         self.starts = 0
         self.crashed: list[str] = []  # how it ended where nobody had asked it to
         self.restarting = False
@@ -88,7 +90,8 @@
         """Start it and wait until it answers PING; TimeoutError or ChildProcessError where it doesn't."""
         environment = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"),
                        "RELAY_STATE": str(self.folder / "state"), "RELAY_NAME": self.name,
-                       "RELAY_LISTEN": f"{self.door.host}:{self.door.port}", "TMPDIR": str(self.folder)}
+                       "RELAY_LISTEN": f"{self.door.host}:{self.door.port}", "TMPDIR": str(self.folder),
+                       **self.environment}
         for other in ("RELAY_DISCOVERY", "RELAY_MGMT", "RELAY_INHERITED_FD"):
             environment.pop(other, None)
         begun = time.monotonic()
@@ -107,7 +110,7 @@
                     raise ChildProcessError(f"{self.name} ended with {status}: {self.last_line()}")
                 await asyncio.sleep(0.05)
         self.ready_after.append(time.monotonic() - begun)
-        self.door.open = True
+        self.door.open, self.door.killed = True, False
 
     async def _answers(self) -> bool:
         writer = None
@@ -129,42 +132,58 @@
             return lines[-1] if lines else "it said nothing"
         return "it said nothing"
 
-    async def restart(self, killed: bool) -> None:
-        """As the platform restarts one: SIGKILL alone, or SIGTERM with its grace; then started again."""
+    async def restart(
+        self, killed: bool, more: Sequence[signal.Signals] = (), keep_using: bool = False
+    ) -> None:
+        """As the platform restarts one: SIGKILL alone, or SIGTERM (and ``more`` signals behind it) with its
+        grace; then started again. ``keep_using``: clients use open connections until it is killed."""
         self.restarting = True
         try:
+            loop = asyncio.get_running_loop()
             if killed:
-                notice = asyncio.get_running_loop().call_later(NOTICED, setattr, self.door, "open", False)
-                await self._end(signal.SIGKILL)
-                await asyncio.sleep(DOWN_TIME)
+                notice = loop.call_later(NOTICED, self._shut_door, False)
+                await self._end((signal.SIGKILL,))
             else:
-                notice = asyncio.get_running_loop().call_later(KNOCKS_ON, setattr, self.door, "open", False)
-                await self._end(signal.SIGTERM)
-                await asyncio.sleep(DOWN_TIME)
+                notice = loop.call_later(KNOCKS_ON, self._shut_door, keep_using)
+                await self._end((signal.SIGTERM, *more))
+            self.door.leaving = False
+            await asyncio.sleep(DOWN_TIME)
             notice.cancel()
             await self.start()
         finally:
             self.restarting = False
 
+    def _shut_door(self, leaving: bool) -> None:
+        self.door.open, self.door.leaving = False, leaving
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Nothing where it has ended."""
+        if number is signal.SIGKILL:
+            self.door.killed = True
+        if self._process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
     async def stop(self) -> int | None:
         """Its exit status; SIGKILL where SIGTERM was not enough. None where it never ran."""
         self.restarting = True
         self.door.open = False
-        return await self._end(signal.SIGTERM)
+        return await self._end((signal.SIGTERM,))
 
-    async def _end(self, number: signal.Signals) -> int | None:
+    async def _end(self, numbers: Sequence[signal.Signals]) -> int | None:
+        """Its exit status, once it has ended by these signals; by SIGKILL when its grace is over."""
         process = self._process
         if process is None:
             return None
         self.sample()
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(number)
         try:
             async with asyncio.timeout(GRACE):
+                for number in numbers:
+                    self.send_signal(number)
+                    await asyncio.sleep(SIGNALS_APART if len(numbers) > 1 else 0)
                 return await process.wait()
         except TimeoutError:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
+            self.send_signal(signal.SIGKILL)
             return await process.wait()
 
     def sample(self) -> None:
--- a/fleetlab/scale.py
+++ b/fleetlab/scale.py
@@ -115,7 +115,7 @@
                            history=plan.history)
         known = json.loads(self.agent.whole())
         for n in range(plan.relays):
-            relay = RealRelay(f"n{n}", folder / f"n{n}", self.options.command)
+            relay = self._make_relay(f"n{n}", folder / f"n{n}")
             self.relays.append(relay)
             discovery = await self.agent.listen(relay.name)
             relay.configure(fleet.config(relay.name, f"127.0.0.1:{relay.door.port}", discovery, known,
@@ -143,6 +143,9 @@
         await self.clients.play(self.begun + plan.length)
         await self._settle()
 
+    def _make_relay(self, name: str, folder: Path) -> RealRelay:
+        return RealRelay(name, folder, self.options.command)
+
     async def _settle(self) -> None:
         """Until all that was taken on has ended, or its time is up."""
         last = time.monotonic() + self.plan.deadline + self.plan.settle
@@ -301,6 +304,9 @@
         if self.agent.unreadable:
             ledger.broken[Rule.UNREADABLE] = self.agent.unreadable
         self.why_not += [f"crashed: {line}" for line in crashes]
+        unanswered = sum(relay.door.unanswered for relay in self.relays)
+        if unanswered:
+            self.why_not.append(f"{unanswered} times closed with no answer, on a new connection")
         self.why_not += [f"{count} times {rule.value}" for rule, count in sorted(
             ledger.broken.items(), key=lambda item: item[0].name)]
         if options.judge_time:
--- a/garnetrelay/keptlist.py
+++ b/garnetrelay/keptlist.py
@@ -36,7 +36,7 @@
 ANEW_SHARE = 0.25  # of the whole list's size: changes beyond that are worth writing it anew
 ANEW_FROM = 64 * 1024  # bytes of changes below which they are not
 AGAIN_AFTER = 600.0  # seconds after the whole list was too long for its room: it may have shrunk
-AGAIN_AFTER_ERROR = 5.0  # seconds after it could not be written: the disk may be well again
+AGAIN_AFTER_ERROR = 0.5  # seconds after it could not be written: the disk may be well again
 
 
 class KeptList:
