--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -11,9 +11,9 @@
 import pytest
 import pytest_asyncio
 
+from fleetlab.faulty import FAULTS_FILE, Faults
 from tests.processes import Process
 from tests.sockets import Field, HttpServer, endpoint, until
-from tests.stepped_clock import STEP_FILE
 from tests.test_upgrade import Pair, pair
 
 __all__ = ["pair"]  # a fixture
@@ -27,15 +27,14 @@
     """The wall clock of the relays that are started with it."""
 
     def __init__(self, folder: Path) -> None:
-        self.path = folder / "step"
-        self.step(0.0)
+        self.path = folder / "faults.json"
 
     def step(self, seconds: float) -> None:
-        self.path.write_text(str(seconds))
+        Faults(clock_step=seconds).put(self.path)
 
     def give_to(self, process: Process) -> None:
-        process.module = "tests.stepped_clock"
-        process.extra = {STEP_FILE: str(self.path)}
+        process.module = "fleetlab.faulty"
+        process.extra = {FAULTS_FILE: str(self.path)}
 
 
 @pytest_asyncio.fixture
