--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import os
 import socket
@@ -154,3 +155,32 @@
     (await field.host.next_call()).answer(200)
 
 
+
+
+@pytest.mark.parametrize("call", ["send", "recv_into"])
+async def test_read_or_write_that_fails_by_our_own_machines_doing_counts_against_no_destination(
+        field: Field, monkeypatch: pytest.MonkeyPatch, call: str) -> None:
+    """No buffer is left for an instant: the new connection is lost, and nothing is learned of its host."""
+    client = await field.start()
+    port = int(field.host.address.rpartition(":")[2])
+    left = [1]
+    plain = getattr(socket.socket, call)
+
+    def fails(self: socket.socket, *args: Any) -> Any:
+        peer = None
+        with contextlib.suppress(OSError):
+            peer = self.getpeername()[1]
+        if left[0] and peer == port:
+            left[0] -= 1
+            raise OSError(errno.ENOBUFS, "No buffer space available")
+        return plain(self, *args)
+
+    monkeypatch.setattr(socket.socket, call, fails, raising=False)
+    assert await client.enqueue("m1", "safe") == b"OK"
+    taken = await field.host.next_call()
+    taken.answer(200)
+    if call == "recv_into":
+        (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+    dest = field.relays[0].pacer.routes[3][0]
+    assert (left[0], dest.bad, dest.hosts[0].bad, dest.failed_at) == (0, 0.0, 0.0, 0)
