Learn nothing of a host from a connection lost by our own machine's doing

Cause: an error of send or recv ended the call as one that its host broke. Change: where its errno is in LOCAL_ERRORS the outcome is marked as one that says nothing of the host.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -165,6 +165,7 @@
         self.body = b""
         self.calls = 0
         self.written_at = 0.0
+        self.lost_locally = False  # by an error of our own machine
         self.whole: bool = False  # the kernel has taken the last byte of what was asked last
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -176,6 +177,7 @@
         self.pool.open.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.lost_locally = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
         self.pool.forget(self)
         if self.timer is not None:
             self.timer.cancel()
@@ -184,9 +186,10 @@
 
     def _broken(self) -> Outcome:
         """The outcome of a call whose answer did not come whole, or can't be read. Broken at once and without
-        a byte, where an earlier call was answered: the host had closed the connection while it stood idle."""
+        a byte, where an earlier call was answered: the host had closed the connection while it stood idle.
+        Neither that nor an error of our own machine says anything of the host."""
         waited = asyncio.get_running_loop().time() - self.written_at
-        stale = self.calls > 1 and not self.received and waited < STALE_TIME
+        stale = self.lost_locally or self.calls > 1 and not self.received and waited < STALE_TIME
         status = io.Status.RESET if self.whole else io.Status.CONNECT_FAILED  # a call in part never ran
         return self.settled or Outcome(status, stale=stale)
 
