--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+import signal
+import time
 
 import pytest
 
 from starlingwick import interface as io
 from tests.fleet import HANGING, OUTAGES, SOMETIMES_TOLD, Play
 from tests.helpers import KEYED, MS, SAFE, UNSAFE, Relay, S, entry
+from tests.processes import Process
+from tests.sockets import PATIENCE, Call, Field
 
 
 def ended(relay: Relay, status: io.Status, after: int) -> None:
@@ -155,3 +160,35 @@
                     plays += 1
                     told += bool(falls) and falls[0] > 2 / 3
     assert upper_bound(told, plays) < 0.07, (told, plays)
+
+
+async def test_partner_that_is_back_keeps_its_slow_start_across_a_kill(
+        field: Field, process: Process) -> None:
+    """The relay had been told of the outage in its life before; its folder outlasts it."""
+    listed, rules = 8.0, field.facts["rules"]
+    field.facts["weightSource"] = "nominal"
+    field.endpoints[0]["weight"] = listed
+    calls: list[float] = []
+    down = True
+
+    def take(call: Call) -> None:
+        if not down:
+            calls.append(time.monotonic())
+        call.answer(500 if down else 200)
+
+    field.host.take = take  # type: ignore[method-assign]
+    client = await process.start()
+    for number in range(60):
+        assert await client.enqueue(f"m{number}", "safe", d=8000) == b"OK"
+    await process.says("outage")
+    await process.end(signal.SIGKILL)
+    down = False
+    await process.start()
+    async with asyncio.timeout(PATIENCE):
+        while not calls:
+            await asyncio.sleep(0.01)
+    fall = rules["fall"] / 1e9
+    await asyncio.sleep(fall)
+    grown = rules["startCapacity"] + (1 - rules["startCapacity"]) * fall * 1e9 / rules["rampTime"] / 2
+    budget = rules["fallMultiple"] * listed * grown * fall
+    assert sum(at < calls[0] + fall for at in calls) <= budget + 3 * math.sqrt(budget) + 3
