--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -14,7 +14,7 @@
 from bisect import bisect_right
 from collections import Counter, deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field, fields
+from dataclasses import fields
 from itertools import islice
 from typing import Any
 
@@ -34,7 +34,6 @@
     Learned,
     ListScope,
     Log,
-    MessageClass,
     Overheard,
     Probe,
     Probed,
@@ -55,9 +54,9 @@
     Wake,
     Withdrawn,
 )
-
-SECOND = 1_000_000_000
-NEVER = 1 << 62  # "only an event can change this"
+from starlingwick.listed_rate import call_interval, longest_limit_wait
+from starlingwick.slow_start import SlowStart
+from starlingwick.state import NEVER, SECOND, Call, Destination, Host, Message
 
 # The design's own figures.
 CUT = 0.75  # what a cut leaves of the ceiling
@@ -83,11 +82,9 @@
 ASK_LATEST = 4 * SECOND  # for each further one: news counts as told 6 s after it came up
 ASK_WITHIN = 11 * SECOND // 2  # from a call that came to nothing to the next, which is answered before that
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
-LIMIT_SPAN = 6 * SECOND // 5  # a limit's second, and some for what tells of it late
 STORE_AGAIN = SECOND  # until a disk that is full or fails may have room again
 MOST_USED = 1024  # destinations that are known without need: some seconds' traffic of a relay that sees many
 LOOKS = 4  # at what may be let go, each turn
-BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 LEARNED_SPANS = ("refusals", "sent", "arrived", "served")
@@ -97,103 +94,13 @@
 MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
 
-@dataclass(slots=True, eq=False)
-class Host:
-    """An endpoint of a destination: its drain, its calls out and its health."""
-
-    name: str
-    zone: int
-    kind: int = 0
-    rate: float = 0.0  # as listed
-    usable: bool = True
-    calls: int = 0
-    probing: bool = False
-    last_sent: int = 0
-    gap: int = NEVER  # between the last two sends
-    last_ok_sent: int = -1  # when the latest-sent call that was answered well went out
-    bad: float = 0.0  # share of bad outcomes, newest weigh most
-    retry_at: int = 0  # when a suspect one is as good a choice as others again
-
-
-@dataclass(slots=True, eq=False)
-class Destination:
-    """What is paced as one: a destination, or a route of its own where the kind is apart."""
-
-    number: int
-    per_call: int
-    hosts: list[Host] = field(default_factory=list)
-    listed: float = 0.0  # calls a second it takes from all relays, as listed or reported; 0: unknown
-    ceiling: float | None = None  # calls a second of this relay
-    ceiling_at: int = 0  # when the ceiling last changed
-    cut_at: int = 0  # when it was last cut
-    cut_from: float = 0.0  # what it was cut from, calls a second
-    next_call: int = 0  # spacing under the ceiling
-    mean: float = 0.0  # response time
-    wait_until: int = 0  # told
-    rest: float = 0.0  # our own, after a call
-    rest_until: int = 0
-    pause_at: int = 0  # when it was last set
-    refused_from: int | None = None  # when the present run of refusals began
-    bad: float = 0.0  # share of bad outcomes at all its hosts, newest weigh most
-    bad_from: int | None = None  # first bad outcome since it was well
-    bad_at: int = 0  # the latest
-    failed_at: int = 0  # the latest failure, or refusal that no limit explains
-    out: bool = False  # half open: one trial at a time
-    ramp_from: int | None = None  # when it came back, in the mean
-    warm_at: int = 0  # the end of the ramp, if it came back as late as it can have
-    part: float = 0.0  # calls a second of this relay's part of what it takes when warm
-    next_at: int = 0  # trial while in trouble, spacing on the ramp
-    refusals: list[int] = field(default_factory=list)  # times, oldest first, as in the next three
-    sent: list[int] = field(default_factory=list)
-    arrived: list[int] = field(default_factory=list)
-    served: list[int] = field(default_factory=list)
-    calls: list[Call] = field(default_factory=list)
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A call out: one slot, one fate, perhaps several messages."""
-
-    dest: Destination
-    host: Host
-    sent_at: int
-    messages: list[Message]
-    open: int = 0  # messages in it without an outcome
-    settled: bool = False  # its outcome has been taken in
-    blamed: bool = False  # counted against the host as overdue
-
-
-@dataclass(slots=True, eq=False)
-class Message:
-    """A message held: its attempts, whether one may have run, and its times."""
-
-    name: str
-    klass: MessageClass
-    dest: int
-    key: str | None
-    worth: float
-    arrived: int
-    deadline: int
-    attempts: int = 0
-    abandoned: int = 0  # of these, those of which nothing was ever written
-    call: Call | None = None
-    not_before: int = 0
-    ran_at: int | None = None  # when the first attempt that may have run was sent
-    ran_zone: int = 0
-    over: bool = False
-    owed: bool = False  # an earlier life took it on and never sent it: it gets a call before it is given up
-
-    @property
-    def aim_at(self) -> int:
-        return self.deadline - self.klass.deadline + self.klass.aim
-
-
 class Pacer:
     """The decisions of one relay. Feed it events; carry out what it answers."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
+        self.slow_start = SlowStart(settings)
         self.now = 0
         self.started: int | None = None
         self.actions: list[Action] = []
@@ -372,7 +279,7 @@
             dest.calls
             or dest.bad > SUSPECT
             or dest.ceiling is not None
-            or self.is_cold(dest)
+            or self.slow_start.is_on(dest, self.now)
             or max(dest.wait_until, dest.rest_until, dest.next_call, dest.next_at) > self.now
             or dest.refused_from is not None
             and dest.pause_at > settled
@@ -681,7 +588,7 @@
             if dest.bad_from is not None:
                 dest.bad_at = self.now
                 # A partner that is back resets what hung there at all relays at once.
-                trial = self.next_cold(dest, self.now, self.random.uniform(0.1, 1.0))
+                trial = self.slow_start.time_for(dest, self.random.uniform(0.1, 1.0), self.now, self.now)
                 dest.next_at = max(dest.next_at, trial)
         elif status in (Status.RESET, Status.TIMEOUT) and self.answers(dest):
             self.distrust(call.host)
@@ -709,7 +616,8 @@
         if len(dest.refusals) >= CUT_AFTER:
             dest.refusals.clear()
             dest.cut_from = dest.ceiling or self.rate(dest.sent, SENT_SPAN)
-            dest.ceiling = max(CUT * dest.cut_from, min(1.0, SECOND / max(1, self.turn(dest))) / 2)
+            least = min(1.0, SECOND / max(1, self.call_interval(dest))) / 2
+            dest.ceiling = max(CUT * dest.cut_from, least)
             dest.ceiling_at = dest.cut_at = self.now
             dest.next_call = max(dest.next_call, self.now)  # no credit from before the cut
             self.log(f"cut dest={dest.number} ceiling={dest.ceiling:.3f}/s")
@@ -718,33 +626,29 @@
             dest.rest_until += wait
         # A limit says that it is spent. Told to wait longer than one would make, the destination is shut and
         # says when it opens; untold, refusals that last with room left mean the same.
-        limit_wait = self.limit_wait(dest)
+        limit_wait = longest_limit_wait(dest)
         if wait > limit_wait:
             self.size_up(dest, dest.refused_from)
             dest.bad_at = dest.ramp_from = self.now + wait
             dest.warm_at = dest.ramp_from + self.settings.rules.ramp_time
-            dest.next_at = self.next_cold(dest, dest.ramp_from, self.random.random())
-        if not wait and (left is None or left > HALF_LEFT):  # shut, perhaps: see may_be_back
+            dest.next_at = self.slow_start.time_for(dest, self.random.random(), dest.ramp_from, self.now)
+        if not wait and (left is None or left > HALF_LEFT):  # shut, perhaps: see SlowStart.may_begin
             self.size_up(dest, dest.refused_from)
             dest.bad_at = self.now
-        lasts = 0 if self.turn(dest) > CUT_SPAN else limit_wait - wait  # where turns are rare, two in a row
+        rare = self.call_interval(dest) > CUT_SPAN  # two in a row are enough then
+        lasts = 0 if rare else limit_wait - wait
         room_left = left is None or left > HALF_LEFT
         if wait <= limit_wait and room_left and self.now - dest.refused_from > lasts:
             dest.failed_at = self.now
             self.judge(call, False)
 
-    def limit_wait(self, dest: Destination) -> int:
-        """The longest wait that a limit would tell: to the end of a span of a second, or until a call is due
-        where it takes few."""
-        return max(LIMIT_SPAN, round(2 * SECOND / dest.listed) if dest.listed else 0)
-
     def pause(self, dest: Destination, refused: bool, left: float | None) -> None:
         """Own rest after a call, for relays that see too few refusals to cut a rate. Grows by refusals (also
         from a told wait's end: all were told it) or with the limit all but spent; ends with half of it left,
         shrinks like a ceiling in between, halves with time. As many refusals as make a cut take it to three
         turns where turns are rare: refused calls may use up the limit too."""
-        rare = self.turn(dest) > CLIMB_EVERY
-        most = 3 * self.turn(dest) if rare else CLIMB_EVERY
+        rare = self.call_interval(dest) > CLIMB_EVERY
+        most = 3 * self.call_interval(dest) if rare else CLIMB_EVERY
         dest.rest *= 0.5 ** ((self.now - dest.pause_at) / most)
         if refused or rare and left is not None and left < SPENT:
             # None told: perhaps shut. Nothing at all left: refused calls use it up. Both rest longer at once.
@@ -770,64 +674,27 @@
         for one in (dest, host):
             one.bad += BAD_WEIGHT * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
-        if good and not dest.out and (was or self.may_be_back(dest)):
+        if good and not dest.out and (was or self.slow_start.may_begin(dest, self.now)):
             # Nobody saw it come back: half of the time since the last failure, in the mean.
             dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
             dest.warm_at = self.now + self.settings.rules.ramp_time
             # The trial was a call of the ramp. Where this relay sends more than a few, one is within chance.
-            spent = 1.0 if self.sees_little(dest) else self.random.random()
-            dest.next_at = self.next_cold(dest, self.now, spent)
+            spent = 1.0 if self.slow_start.sees_little(dest) else self.random.random()
+            dest.next_at = self.slow_start.time_for(dest, spent, self.now, self.now)
             self.log(f"back dest={dest.number} host={host.name}")
-        elif good and not dest.out and not self.is_cold(dest):
+        elif good and not dest.out and not self.slow_start.is_on(dest, self.now):
             dest.bad_from = None
         elif not good:
             self.size_up(dest, self.now)
             dest.bad_at = self.now
             if dest.out:
                 dest.ramp_from = None
-            host.retry_at = self.next_cold(dest, self.now, self.random.uniform(0.1, 1.0))
+            host.retry_at = self.slow_start.time_for(dest, self.random.uniform(0.1, 1.0), self.now, self.now)
             sent_since = any(other.sent_at > call.sent_at for other in dest.calls)  # and paces the next
             dest.next_at = max(dest.next_at, host.retry_at) if sent_since else host.retry_at
             if dest.out and not was:
                 self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
 
-    def may_be_back(self, dest: Destination) -> bool:
-        """Whether an outage may lie behind this good answer: trouble, and no other good answer for ``fall``
-        before. A failure since the last one will do; of refusals, which a limit makes too, where this relay
-        sees so little that it sees no more of an outage than one bad outcome."""
-        answered = dest.served[-2] if len(dest.served) > 1 else 0
-        return (
-            dest.bad_from is not None
-            and dest.bad_at > (dest.ramp_from or 0)
-            and not self.is_cold(dest)
-            and self.now - answered > self.settings.rules.fall
-            and (dest.failed_at > answered or self.sees_little(dest))
-        )
-
-    def sees_little(self, dest: Destination) -> bool:
-        """Whether this relay's part of what a destination takes is under a call in ``fall``, or unknown."""
-        return not 0 < self.turn(dest) <= self.settings.rules.fall
-
-    def is_cold(self, dest: Destination) -> bool:
-        """On the ramp after an outage."""
-        return dest.ramp_from is not None and self.now < dest.warm_at
-
-    def next_cold(self, dest: Destination, start: int, calls: float) -> int:
-        """Rule 4: when this relay's part of what a destination may get, in trouble or on the ramp, has grown
-        by so many calls. All relays share it, or as many as can have had a call for it in the trouble's time
-        (a ramp at least). Of unknown capacity, all relays together are taken to get a call a second."""
-        rules = self.settings.rules
-        lasted = max(rules.ramp_time, SECOND, dest.bad_at - (dest.bad_from or dest.bad_at))
-        part = max(dest.part / SECOND, 1 / lasted, 1 / SECOND / self.settings.relays)
-        pace = BUDGET * rules.fall_multiple * part
-        if not self.is_cold(dest) or dest.ramp_from is None:
-            return start + round(calls / (pace * rules.start_capacity))
-        grows = pace * (1 - rules.start_capacity) / max(1, rules.ramp_time)
-        first = pace * rules.start_capacity + grows * max(0, start - dest.ramp_from)
-        if first >= pace:
-            return start + round(calls / pace)
-        return start + round(2 * calls / (first + math.sqrt(first * first + 2 * grows * calls)))
-
     def late_after(self, dest: Destination) -> int:
         return round(LATE * dest.mean) or min(c.aim for c in self.settings.classes)
 
@@ -860,9 +727,9 @@
         times.append(self.now)
         self.rate(times, span)  # drops what is older
 
-    def turn(self, dest: Destination) -> int:
+    def call_interval(self, dest: Destination) -> int:
         """The time in which this relay's part of a known limit is one call; 0: no limit is known."""
-        return round(SECOND * self.settings.relays / dest.listed) if dest.listed else 0
+        return call_interval(dest, self.settings.relays)
 
     def climb(self, dest: Destination) -> None:
         """The slower, exponential way back to the target; a ceiling that reaches it is dropped."""
@@ -908,7 +775,7 @@
         here = sum(len(route.calls) for route in self.routes[dest.number])
         if here >= max(1, int(SLOT_SHARE * self.settings.slots)):
             return NEVER  # routes apart are one destination where slots are shared out
-        if dest.bad > SUSPECT or self.is_cold(dest):
+        if dest.bad > SUSPECT or self.slow_start.is_on(dest, self.now):
             when = max(when, dest.next_at)
         if m is not None:
             when = max(when, m.not_before)
@@ -931,8 +798,8 @@
         all that are owed one there."""
         owed, mean = self.owed_at[dest.number], dest.mean or self.late_after(dest) / LATE
         needs = round(mean * max(LATE, owed / self.most_calls(dest, False)))
-        if dest.bad > SUSPECT or self.is_cold(dest):
-            needs = max(needs, self.next_cold(dest, self.now, owed) - self.now)
+        if dest.bad > SUSPECT or self.slow_start.is_on(dest, self.now):
+            needs = max(needs, self.slow_start.time_for(dest, owed, self.now, self.now) - self.now)
         return needs
 
     def is_for_the_next_life(self, m: Message, dest: Destination) -> bool:
@@ -1074,8 +941,8 @@
         host.last_sent = self.now
         if dest.ceiling is not None:
             dest.next_call = max(dest.next_call, self.now - SECOND) + round(SECOND / dest.ceiling)
-        if dest.bad > SUSPECT or self.is_cold(dest):
-            dest.next_at = self.next_cold(dest, self.now, 1.0)
+        if dest.bad > SUSPECT or self.slow_start.is_on(dest, self.now):
+            dest.next_at = self.slow_start.time_for(dest, 1.0, self.now, self.now)
 
     def close_idle(self) -> None:
         """A connection is kept only where the next call comes soon: idle ones of many relays fill a host's
@@ -1132,7 +999,7 @@
                     f"dest={number} waiting={len(self.waiting[number])} out={len(dest.calls)}"
                     f" most={self.most_calls(dest)} ceiling={dest.ceiling or 0:.2f}/s part={dest.part:.2f}/s"
                     f" listed={dest.listed:.2f}/s mean={dest.mean / SECOND:.3f}s bad={dest.bad:.2f}"
-                    f" pause={pause / SECOND:.2f}s cold={self.is_cold(dest)}"
+                    f" pause={pause / SECOND:.2f}s cold={self.slow_start.is_on(dest, self.now)}"
                 )
         return lines
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -5,7 +5,8 @@
 import pytest
 
 from starlingwick import interface as io
-from starlingwick.control import CUT, Destination, Host, Message
+from starlingwick.control import CUT
+from starlingwick.state import Destination, Host, Message
 from tests.helpers import MS, TURNS, Relay, S, entry
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -122,7 +122,7 @@
     for _ in range(3):
         (await field.host.next_call()).answer(200)
     await until(lambda: not field.relays[0].held)
-    assert "outage" not in log_of(caplog) and not pacer.is_cold(dest)
+    assert "outage" not in log_of(caplog) and not pacer.slow_start.is_on(dest, pacer.now)
     assert log_of(caplog).count(os.strerror(number)) == 1
 
 
