--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -309,6 +309,22 @@
     other.close()
 
 
+async def test_list_that_changes_often_is_written_anew_before_its_changes_fill_its_room(
+    tmp_path: Path,
+) -> None:
+    """Its room is smaller than what changes may take where there is plenty."""
+    catalog, kept = Catalog(), kept_list(tmp_path, most=60_000)
+    await keep(kept, catalog, committed(catalog, 1, True, *(one(f"s{n}", n) for n in range(30))), True)
+    for version in range(2, 1000):
+        change = committed(catalog, version, False, one(f"s{version % 30}", version % 30, port=version))
+        await keep(kept, catalog, change, False)
+        assert sum(path.stat().st_size for path in tmp_path.iterdir()) <= 60_000
+    restored = Catalog()
+    assert kept.load(restored, known=0) and restored.version == 999
+    assert content(restored) == content(catalog)
+    kept.close()
+
+
 @pytest.mark.parametrize("calls", [("write",), ("open",), ("rename",)])
 async def test_list_that_the_disk_did_not_take_is_written_when_it_is_well_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, calls: tuple[str, ...]
