Write the list anew before its changes have filled its room on the disk

Cause: a file is written anew once changes outgrow 64 KiB or a quarter of the list, which is more than all its room where limits.disk_mb is 3; the change that no longer fitted gave the list up for 600 s, and a restart began from an old one. Change: a change that does not fit has the list written anew.

--- a/garnetrelay/keptlist.py
+++ b/garnetrelay/keptlist.py
@@ -90,9 +90,8 @@
             self.changed |= changed
         elif whole or self.file is None:
             self._write_anew(catalog)
-        elif not changed or self._append(self.file, CHANGE, _changes(catalog, changed)):
-            if self.size - self.whole_size > max(ANEW_FROM, ANEW_SHARE * self.whole_size):
-                self._write_anew(catalog)
+        elif changed:
+            self._append_change(self.file, catalog, changed)
 
     def close(self) -> None:
         if self.writing is not None:
@@ -146,6 +145,15 @@
 
     # ---- writing
 
+    def _append_change(self, file: int, catalog: Catalog, changed: set[int]) -> None:
+        """The change behind the list; the list anew where the changes have no more room, or outgrow it."""
+        change = _changes(catalog, changed)
+        if self.size + RECORD.size + len(change) > self.most // 2:
+            self._write_anew(catalog)
+        elif self._append(file, CHANGE, change):
+            if self.size - self.whole_size > max(ANEW_FROM, ANEW_SHARE * self.whole_size):
+                self._write_anew(catalog)
+
     def _append(self, file: int, sort: bytes, payload: bytes) -> bool:
         record = _record(sort, payload)
         if self.size + len(record) > self.most // 2:
