Name connection pool, attempt, endpoint cache, admin server and requests as the field does

Hosts, Exchange, Ask, KeptList, Door, Caller, Newcomer and Held are ConnectionPool, Attempt, HttpRequest, EndpointCache, AdminServer, AdminConnection, PendingRequest and InFlightMessage; two files follow.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 from garnetrelay.config import Config, ConfigError, load, load_discovery
-from garnetrelay.management import Door, routes
+from garnetrelay.management import AdminServer, routes
 from garnetrelay.relay import Relay
 
 log = logging.getLogger("garnetrelay")
@@ -22,7 +22,7 @@
     """Run until a signal has ended the relay."""
     relay = Relay(config)
     loop = asyncio.get_running_loop()
-    door = Door(
+    admin = AdminServer(
         routes(
             relay.health,
             relay.metrics,
@@ -36,13 +36,13 @@
     loop.add_signal_handler(signal.SIGHUP, reload, relay)
     try:
         if config.mgmt is not None:
-            log.info("operators' door on %s port %d", *door.start(config.mgmt))
+            log.info("operators' door on %s port %d", *admin.start(config.mgmt))
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         await relay.start()
         await relay.finished.wait()
         await relay.end()
     finally:
-        door.close()
+        admin.close()
         relay.close()
 
 
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/connection_pool.py
@@ -66,7 +66,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class HttpRequest:
     """One request in HTTP's terms."""
 
     method: str
@@ -75,14 +75,14 @@
     body: bytes = b""
 
 
-class Exchange:
+class Attempt:
     """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it."""
 
     def __init__(
         self,
         host: str,
         stop_at: int,
-        prepare: Callable[[], Ask | None],
+        prepare: Callable[[], HttpRequest | None],
         done: Callable[[Outcome], None],
         written: Callable[[], None] = lambda: None,
         told: Callable[[int], None] = lambda wait: None,
@@ -169,13 +169,13 @@
 class Connection(BufferedReader):
     """One connection to a host: carries an exchange, stands idle, or is gone."""
 
-    def __init__(self, pool: Hosts, host: str, address: Address) -> None:
+    def __init__(self, pool: ConnectionPool, host: str, address: Address) -> None:
         self.pool = pool
         self.buffer = pool.buffer
         self.host = host
         self.address = address
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
-        self.exchange: Exchange | None = None
+        self.exchange: Attempt | None = None
         self.outcome: Outcome | None = None  # of the answer whose body is still coming
         self.received = 0
         self.head = b""  # the answer's first bytes
@@ -236,7 +236,7 @@
         if self.exchange is not None:
             self.exchange.written()
 
-    def start(self, exchange: Exchange, ask: Ask) -> None:
+    def start(self, exchange: Attempt, ask: HttpRequest) -> None:
         """Write the request."""
         if self.timer is not None:
             self.timer.cancel()
@@ -347,7 +347,7 @@
             self.transport.abort()
 
 
-class Hosts:
+class ConnectionPool:
     """The connections to all hosts, and the exchanges on them."""
 
     def __init__(self, settings: io.Settings, most_open: int) -> None:
@@ -379,7 +379,7 @@
         self.started.pop(host, None)
         self.close_idle(host)
 
-    def begin(self, exchange: Exchange) -> None:
+    def begin(self, exchange: Attempt) -> None:
         """Start a call or a probe, on an idle connection where there is a good one."""
         loop = asyncio.get_running_loop()
         exchange.timer = loop.call_at(exchange.stop_at / SECOND, exchange.give_up, io.Status.TIMEOUT)
@@ -400,7 +400,7 @@
         self.opening.add(task)
         task.add_done_callback(self._opened)
 
-    async def _connect(self, exchange: Exchange, address: Address) -> None:
+    async def _connect(self, exchange: Attempt, address: Address) -> None:
         try:
             async with asyncio.timeout(self.connect_time):
                 try:
@@ -455,7 +455,7 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             log.error("opening a connection failed", exc_info=error)
 
-    def _go(self, connection: Connection, exchange: Exchange) -> None:
+    def _go(self, connection: Connection, exchange: Attempt) -> None:
         ask = exchange.prepare()
         if ask is None:
             self.rest(connection)
@@ -510,14 +510,14 @@
                 return
 
 
-def call(ref: str, key: str | None, body: bytes, stop_at: int) -> Ask:
+def call_request(ref: str, key: str | None, body: bytes, stop_at: int) -> HttpRequest:
     """A message's call, as the protocol words it."""
     left = max(1, (stop_at - time.monotonic_ns()) // 1_000_000)
     headers = [("X-Request-ID", ref), ("X-Timeout-Ms", str(left)), ("Content-Length", str(len(body)))]
     if key is not None:
         headers.insert(1, ("Idempotency-Key", key))
-    return Ask("POST", "/hook", headers, body)
+    return HttpRequest("POST", "/hook", headers, body)
 
 
-def probe(with_report: bool) -> Ask:
-    return Ask("GET", "/-/load" if with_report else "/-/healthy", [])
+def probe_request(with_report: bool) -> HttpRequest:
+    return HttpRequest("GET", "/-/load" if with_report else "/-/healthy", [])
--- a/garnetrelay/keptlist.py
+++ b/garnetrelay/endpoint_cache.py
@@ -39,7 +39,7 @@
 AGAIN_AFTER_ERROR = 0.5  # seconds after it could not be written: the disk may be well again
 
 
-class KeptList:
+class EndpointCache:
     """One relay's list in its folder. OSError never gets out: what can't be kept is not, and the log says
     so."""
 
--- a/garnetrelay/management.py
+++ b/garnetrelay/management.py
@@ -73,10 +73,10 @@
     }
 
 
-class Caller(asyncio.Protocol):
+class AdminConnection(asyncio.Protocol):
     """One operator's connection: a call, its answer, a close."""
 
-    def __init__(self, door: Door) -> None:
+    def __init__(self, door: AdminServer) -> None:
         self.door = door
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_CALL)
         self.request: h11.Request | None = None
@@ -154,13 +154,13 @@
             self.transport.write(data)
 
 
-class Door:
+class AdminServer:
     """Listens for operators, in a thread of its own."""
 
     def __init__(self, routes: Routes, sockets: int) -> None:
         self.routes = routes
         self.most = max(2, min(MOST_CALLERS, sockets // 16))
-        self.callers: dict[Caller, None] = {}  # longest here first
+        self.callers: dict[AdminConnection, None] = {}  # longest here first
         self.loop = asyncio.new_event_loop()
         self.closing = asyncio.Event()
         self.thread: threading.Thread | None = None
@@ -182,7 +182,7 @@
         self.loop.close()
 
     async def _serve(self, listener: socket.socket) -> None:
-        server = await self.loop.create_server(lambda: Caller(self), sock=listener, backlog=BACKLOG)
+        server = await self.loop.create_server(lambda: AdminConnection(self), sock=listener, backlog=BACKLOG)
         await self.closing.wait()
         server.close()
         for caller in list(self.callers):
@@ -195,7 +195,7 @@
             self.thread.join()
             self.thread = None
 
-    def admit(self, caller: Caller) -> None:
+    def admit(self, caller: AdminConnection) -> None:
         """A caller who has just come gets a place: a good one is gone within milliseconds, so the one longest
         here is silent."""
         if len(self.callers) >= self.most:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -13,16 +13,23 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from garnetrelay import hosts as net
 from garnetrelay.catalog import LONG, Catalog, Endpoint, draining, give_back
 from garnetrelay.clients import Rejected, Reply, Request, Server
 from garnetrelay.clock import monotonic_ms
 from garnetrelay.config import Address, Config
+from garnetrelay.connection_pool import (
+    Attempt,
+    ConnectionPool,
+    HttpRequest,
+    Outcome,
+    call_request,
+    probe_request,
+)
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
 from garnetrelay.health import Health
 from garnetrelay.journal import Entry, weight
-from garnetrelay.keptlist import KeptList
+from garnetrelay.endpoint_cache import EndpointCache
 from garnetrelay.metrics import End, Metrics
 from garnetrelay.notices import Notices
 from garnetrelay.ownership import LEARNED_SHARE, Ownership
@@ -47,7 +54,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Held:
+class InFlightMessage:
     """A message in our hands, until its end is told and its last attempt has an outcome."""
 
     ref: str
@@ -55,13 +62,13 @@
     key: str | None
     body: bytes
     attempts: int = 0
-    exchange: net.Exchange | None = None
+    exchange: Attempt | None = None
     over: bool = False
     inherited: bool = False  # an earlier life took it on, and never sent it
 
 
 @dataclass(frozen=True, slots=True)
-class Newcomer:
+class PendingRequest:
     """A message whose client waits to hear whether it is taken on."""
 
     request: Request
@@ -96,13 +103,13 @@
         self.elsewhere = 0  # calls that the process before us still has out
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.catalog = Catalog()
-        self.kept: KeptList | None = None
+        self.kept: EndpointCache | None = None
         if config.list_bytes:
-            self.kept = KeptList(config.state, config.list_bytes, config.zone_names, config.kind_names)
+            self.kept = EndpointCache(config.state, config.list_bytes, config.zone_names, config.kind_names)
         self.used: dict[int, list[Endpoint]] = {}  # destinations that the Pacer and the hosts know of
         self.zones: dict[str, int] = {}  # by host of those
-        self.held: dict[str, Held] = {}
-        self.newcomers: dict[str, Newcomer] = {}
+        self.held: dict[str, InFlightMessage] = {}
+        self.pending: dict[str, PendingRequest] = {}
         self.unrecorded: dict[str, UnrecordedEnd] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
@@ -118,7 +125,7 @@
         self.stopping = False
         self.finished = asyncio.Event()
         # Half of the descriptors for hosts, a third for clients; the rest for discovery and files.
-        self.hosts = net.Hosts(config.settings, config.sockets // 2)
+        self.hosts = ConnectionPool(config.settings, config.sockets // 2)
         self.server = Server(self.on_request, max(1, config.sockets // 3))
         self.reader = Reader(config, self.catalog.stage)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
@@ -192,7 +199,7 @@
         if (
             self.server.stopped
             and self.server.quiet
-            and not self.newcomers
+            and not self.pending
             and not self.held
             and not self.notices.queue
             and not self.unrecorded
@@ -293,9 +300,10 @@
                 self._end(entry.ref, "dead", 0)
             else:
                 untried = not entry.attempts and not entry.uncertain
-                self._hold(
-                    Held(entry.ref, entry.klass, entry.key, entry.body, entry.attempts, inherited=untried)
+                message = InFlightMessage(
+                    entry.ref, entry.klass, entry.key, entry.body, entry.attempts, inherited=untried
                 )
+                self._hold(message)
                 self._use(entry.dest)
                 self._post(self._recovered(entry, now_ms))
         if entries:
@@ -448,11 +456,11 @@
         if self.journal.foreign and self.journal.elsewhere(request.ref):
             reply.ok()  # by another process of this relay
             return
-        if request.ref in self.newcomers:
+        if request.ref in self.pending:
             reply.busy(0)
             return
         deadline = monotonic_ms() + request.patience_ms
-        self.newcomers[request.ref] = Newcomer(request, reply, deadline)
+        self.pending[request.ref] = PendingRequest(request, reply, deadline)
         self._use(request.dest)
         self._post(
             io.Arrived(
@@ -554,10 +562,10 @@
             self._retry_journal_later()
 
     def _admit(self, ends: dict[str, io.Refuse | io.Fail]) -> None:
-        """Answer the newcomers: what the Pacer did not end in this turn is taken on, once it is on record."""
-        newcomers, self.newcomers = self.newcomers, {}
-        for ref, newcomer in newcomers.items():
-            request, reply = newcomer.request, newcomer.reply
+        """Answer those who wait: what the Pacer did not end in this turn is accepted, once on record."""
+        pending, self.pending = self.pending, {}
+        for ref, waiting in pending.items():
+            request, reply = waiting.request, waiting.reply
             match ends.get(ref):
                 case io.Refuse(_, hold_off):
                     reply.busy(hold_off // MS)
@@ -567,13 +575,13 @@
                     reply.error("failed")
                     self.metrics.ended(End.ERRORED, request.klass)
                     continue
-            entry = Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body)
+            entry = Entry(ref, request.klass, request.dest, request.key, waiting.deadline, request.body)
             if not reply.wanted or not self.journal.taken(entry):
                 reply.busy(self.pacer.store_again() // MS)
                 self.metrics.ended(End.DEFERRED, request.klass)
                 self._post(io.Withdrawn(ref))
                 continue
-            self._hold(Held(ref, request.klass, request.key, request.body))
+            self._hold(InFlightMessage(ref, request.klass, request.key, request.body))
             log.debug("message %s key %s is taken on", ref, request.key)
             reply.ok()
 
@@ -625,7 +633,7 @@
             return
         written = False
 
-        def prepare() -> net.Ask | None:
+        def prepare() -> HttpRequest | None:
             nonlocal written
             now = time.monotonic_ns()
             if now >= send.stop_at or not self.pacer.clear_to_send(now, send.call, send.host):
@@ -633,9 +641,9 @@
             name = zones[zone] if 0 <= zone < len(zones) else ""
             written = self.journal.trying(send.call, name, now // MS)
             log.debug("attempt %s %d to %s goes out", send.call, attempt, send.host)
-            return net.call(message.ref, message.key, message.body, send.stop_at) if written else None
+            return call_request(message.ref, message.key, message.body, send.stop_at) if written else None
 
-        def done(outcome: net.Outcome) -> None:
+        def done(outcome: Outcome) -> None:
             message.exchange = None
             log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
             self.outcomes["stale" if outcome.stale else outcome.status.name.lower()] += 1
@@ -678,25 +686,25 @@
             if self.passed_on and self.handover is not None:
                 self.handover.tell({"told": send.host, "wait": wait})
 
-        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, self.metrics.sent, told)
+        message.exchange = Attempt(send.host, send.stop_at, prepare, done, self.metrics.sent, told)
         self.hosts.begin(message.exchange)
 
     def _probe(self, probe: io.Probe) -> None:
         started = self.pacer.now
 
-        def prepare() -> net.Ask | None:
+        def prepare() -> HttpRequest | None:
             if not self.pacer.clear_to_send(time.monotonic_ns(), None, probe.host):
                 return None
-            return net.probe(self.config.load_reports)
+            return probe_request(self.config.load_reports)
 
-        def done(outcome: net.Outcome) -> None:
+        def done(outcome: Outcome) -> None:
             self._post(io.Probed(probe.host, outcome.status, time.monotonic_ns() - started, outcome.report))
 
-        self.hosts.begin(net.Exchange(probe.host, probe.stop_at, prepare, done))
+        self.hosts.begin(Attempt(probe.host, probe.stop_at, prepare, done))
 
     # ---- ends
 
-    def _hold(self, message: Held) -> None:
+    def _hold(self, message: InFlightMessage) -> None:
         self.held[message.ref] = message
         self.metrics.current += 1
 
@@ -709,14 +717,14 @@
         elif ref in self.journal.entries:
             self._record_end(ref, result, wait_ms)
 
-    def _may_be_late(self, message: Held) -> bool:
+    def _may_be_late(self, message: InFlightMessage) -> bool:
         """Whether a delivery may have come when the message's time was up as its client counts it, which is
         earlier than we do by up to the time it waits for our answer. Such a delivery ends nothing, and a
         notice for a message that is over does no harm: both ends are told, and one of them counts."""
         entry = self.journal.entries.get(message.ref)
         return entry is not None and monotonic_ms() >= entry.deadline - CLIENT_WAIT_MS
 
-    def _finish(self, message: Held, result: str | None, wait_ms: int, end: End | None) -> None:
+    def _finish(self, message: InFlightMessage, result: str | None, wait_ms: int, end: End | None) -> None:
         """The one place where a message that was taken on ends."""
         if message.over:
             return
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -16,11 +16,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from garnetrelay import discovery, keptlist
+from garnetrelay import discovery, endpoint_cache
 from garnetrelay.catalog import Catalog, Endpoint
 from garnetrelay.config import Address, Config, ConfigError, load
 from garnetrelay.discovery import Lines, Reader
-from garnetrelay.keptlist import KeptList
+from garnetrelay.endpoint_cache import EndpointCache
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
 from tests.faults import FailingDisk
@@ -194,11 +194,11 @@
 # ---- kept on the disk
 
 
-def kept_list(folder: Path, most: int = 10_000_000, zones: tuple[str, ...] = ("n", "s")) -> KeptList:
-    return KeptList(folder, most, zones, ("plain",))
+def kept_list(folder: Path, most: int = 10_000_000, zones: tuple[str, ...] = ("n", "s")) -> EndpointCache:
+    return EndpointCache(folder, most, zones, ("plain",))
 
 
-async def keep(kept: KeptList, catalog: Catalog, changed: set[int], whole: bool) -> None:
+async def keep(kept: EndpointCache, catalog: Catalog, changed: set[int], whole: bool) -> None:
     kept.keep(catalog, changed, whole)
     if kept.writing is not None:
         await kept.writing
@@ -224,7 +224,7 @@
 async def test_change_that_comes_while_the_list_is_written_is_in_it(tmp_path: Path) -> None:
     catalog, kept = Catalog(), kept_list(tmp_path)
     kept.keep(catalog, committed(catalog, 7, True, *(one(f"s{n}", n) for n in range(2000))), True)
-    await asyncio.sleep(keptlist.PAUSE)
+    await asyncio.sleep(endpoint_cache.PAUSE)
     for version, change in enumerate([one("s1", 1, DELETED), one("s1999", 1999, DELETED), one("x", 9)], 8):
         kept.keep(catalog, committed(catalog, version, False, change), False)
     assert kept.writing is not None
@@ -240,7 +240,7 @@
     await keep(kept, catalog, committed(catalog, 1, True, one("a")), True)
     for version in range(2, 2500):
         await keep(kept, catalog, committed(catalog, version, False, one("a", port=version)), False)
-        assert (tmp_path / "list").stat().st_size < 2 * keptlist.ANEW_FROM
+        assert (tmp_path / "list").stat().st_size < 2 * endpoint_cache.ANEW_FROM
     restored = Catalog()
     assert kept.load(restored, known=0) and content(restored) == content(catalog)
     kept.close()
@@ -330,7 +330,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, calls: tuple[str, ...]
 ) -> None:
     """With no further change of the list."""
-    monkeypatch.setattr(keptlist, "AGAIN_AFTER_ERROR", 0.05)
+    monkeypatch.setattr(endpoint_cache, "AGAIN_AFTER_ERROR", 0.05)
     catalog, kept = Catalog(), kept_list(tmp_path)
     disk = FailingDisk(monkeypatch, errno.ENOSPC, calls)
     await keep(kept, catalog, committed(catalog, 7, True, one("a")), True)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from garnetrelay import clients, hosts
+from garnetrelay import clients, connection_pool
 from garnetrelay.journal import Journal
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
@@ -29,7 +29,7 @@
 
 
 def on_next_connection(
-    monkeypatch: pytest.MonkeyPatch, then: Callable[[hosts.Connection], Awaitable[None]]
+    monkeypatch: pytest.MonkeyPatch, then: Callable[[connection_pool.Connection], Awaitable[None]]
 ) -> None:
     """Let something happen when the next connection has come up, before who asked for it goes on."""
     loop = asyncio.get_running_loop()
@@ -37,7 +37,7 @@
 
     async def crossed(*args: Any, **options: Any) -> Any:
         made = await create(*args, **options)
-        if pending and isinstance(made[1], hosts.Connection):
+        if pending and isinstance(made[1], connection_pool.Connection):
             await pending.pop()(made[1])
         return made
 
@@ -49,7 +49,7 @@
 ) -> None:
     client = await field.start()
 
-    async def breaks(connection: hosts.Connection) -> None:
+    async def breaks(connection: connection_pool.Connection) -> None:
         await field.host.opened.get()
         for writer in list(field.host.writers):
             writer.transport.abort()
@@ -92,7 +92,7 @@
     field.facts["limits"]["probes"] = False
     client = await field.start()
 
-    async def narrows(connection: hosts.Connection) -> None:
+    async def narrows(connection: connection_pool.Connection) -> None:
         assert connection.transport is not None
         connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from garnetrelay import clients, discovery, hosts
+from garnetrelay import clients, discovery, connection_pool
 from garnetrelay.config import Address
 from starlingwick import interface as io
 from tests.sockets import Client, Field, HttpServer, endpoint, listing, packed, until
@@ -229,28 +229,28 @@
 @pytest.mark.parametrize(
     ("status", "headers", "outcome"),
     [
-        (200, [], hosts.Outcome(io.Status.OK, finished=True)),
-        (500, [], hosts.Outcome(io.Status.ERROR)),
-        (302, [], hosts.Outcome(io.Status.ERROR)),
-        (429, [(b"X-Backoff-Ms", b"250")], hosts.Outcome(io.Status.FULL, wait=250_000_000)),
-        (429, [(b"X-Backoff-Ms", b"soon")], hosts.Outcome(io.Status.ERROR)),
-        (429, [], hosts.Outcome(io.Status.ERROR)),
-        (503, [], hosts.Outcome(io.Status.FULL)),
-        (503, [(b"X-Egress-Full", b"1")], hosts.Outcome(io.Status.MOOT, no_slot=True)),
-        (504, [], hosts.Outcome(io.Status.MOOT)),
-        (410, [], hosts.Outcome(io.Status.MOOT, finished=True)),
+        (200, [], connection_pool.Outcome(io.Status.OK, finished=True)),
+        (500, [], connection_pool.Outcome(io.Status.ERROR)),
+        (302, [], connection_pool.Outcome(io.Status.ERROR)),
+        (429, [(b"X-Backoff-Ms", b"250")], connection_pool.Outcome(io.Status.FULL, wait=250_000_000)),
+        (429, [(b"X-Backoff-Ms", b"soon")], connection_pool.Outcome(io.Status.ERROR)),
+        (429, [], connection_pool.Outcome(io.Status.ERROR)),
+        (503, [], connection_pool.Outcome(io.Status.FULL)),
+        (503, [(b"X-Egress-Full", b"1")], connection_pool.Outcome(io.Status.MOOT, no_slot=True)),
+        (504, [], connection_pool.Outcome(io.Status.MOOT)),
+        (410, [], connection_pool.Outcome(io.Status.MOOT, finished=True)),
         (
             503,
             [(b"X-Server-Load", b"x0=0.4,x1=25")],
-            hosts.Outcome(io.Status.FULL, report=io.Report(0.4, 25)),
+            connection_pool.Outcome(io.Status.FULL, report=io.Report(0.4, 25)),
         ),
-        (500, [(b"X-Server-Load", b"x0=nan,x1=?")], hosts.Outcome(io.Status.ERROR)),
+        (500, [(b"X-Server-Load", b"x0=nan,x1=?")], connection_pool.Outcome(io.Status.ERROR)),
     ],
 )
 def test_answer_is_read_as_the_protocol_says(
-    status: int, headers: list[tuple[bytes, bytes]], outcome: hosts.Outcome
+    status: int, headers: list[tuple[bytes, bytes]], outcome: connection_pool.Outcome
 ) -> None:
-    assert hosts.read_outcome(status, headers) == outcome
+    assert connection_pool.read_outcome(status, headers) == outcome
 
 
 async def test_unsafe_message_dies_with_a_connection_that_broke_behind_it(field: Field) -> None:
@@ -451,8 +451,8 @@
     field: Field, monkeypatch: pytest.MonkeyPatch, answered: bool
 ) -> None:
     """The host had closed it while it stood idle, and its end is on its way: that is no sign of an outage."""
-    assert hosts.STALE_TIME <= 0.1
-    monkeypatch.setattr(hosts, "STALE_TIME", 60.0)  # however slow the machine is
+    assert connection_pool.STALE_TIME <= 0.1
+    monkeypatch.setattr(connection_pool, "STALE_TIME", 60.0)  # however slow the machine is
     client = await field.start()
     if answered:
         await field.warm(client)
@@ -473,7 +473,7 @@
     relay = field.relays[0]
     really_open, failures = relay.hosts._open, [error()]
 
-    async def fails_once(host: str, address: Address) -> hosts.Connection:
+    async def fails_once(host: str, address: Address) -> connection_pool.Connection:
         if failures:
             raise failures.pop()
         return await really_open(host, address)
@@ -521,7 +521,7 @@
     net, pacer = field.relays[0].hosts, field.relays[0].pacer
     begin = net.begin
 
-    def drained_meanwhile(exchange: hosts.Exchange) -> None:
+    def drained_meanwhile(exchange: connection_pool.Attempt) -> None:
         begin(exchange)
         pacer.hosts[exchange.host][1].usable = False
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from garnetrelay import discovery, hosts, relay
+from garnetrelay import discovery, connection_pool, relay
 from tests.sockets import Call, Field, HttpServer, Platform, endpoint, listing, until
 from tests.test_crossings import on_next_connection
 
@@ -155,7 +155,7 @@
     other = HttpServer()
     await other.start()
 
-    async def moves(connection: hosts.Connection) -> None:
+    async def moves(connection: connection_pool.Connection) -> None:
         watch.line(
             listing(
                 42,
