--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,7 +11,7 @@
 import pytest
 
 from garnetrelay import journal as journal_module
-from garnetrelay.clock import boot_id, monotonic_ms
+from garnetrelay.clock import boot_id, monotonic_ms, wall_offset_ms
 from garnetrelay.journal import Entry, Journal, weight
 
 DISK = 3_000_000
@@ -245,3 +245,15 @@
     entries = Journal(tmp_path, DISK).entries
     assert {ref: entry.uncertain for ref, entry in entries.items()} == {"untried": False, "ran": True}
     assert all(4000 < entry.deadline - monotonic_ms() <= 5000 for entry in entries.values())
+
+
+@pytest.mark.parametrize("wall", [10**18, 10**18 + 1, 10**18 + 999_999])
+@pytest.mark.parametrize("monotonic", [10**15, 10**15 + 1, 10**15 + 500_000, 10**15 + 999_999])
+def test_deadline_of_another_clock_is_never_read_as_later(
+    monkeypatch: pytest.MonkeyPatch, wall: int, monotonic: int
+) -> None:
+    """Both clocks are cut to milliseconds: what is cut must not add to a message's time."""
+    monkeypatch.setattr(time, "time_ns", lambda: wall)
+    monkeypatch.setattr(time, "monotonic_ns", lambda: monotonic)
+    left = wall // 1_000_000 + 5000 - wall_offset_ms() - monotonic_ms()
+    assert 4998 <= left <= 5000
