--- a/garnetrelay/clock.py
+++ b/garnetrelay/clock.py
@@ -19,8 +19,9 @@
 
 
 def wall_offset_ms() -> int:
-    """By how many milliseconds the wall clock is ahead of the monotonic one just now."""
-    return (time.time_ns() - time.monotonic_ns()) // NS_PER_MS
+    """By how many milliseconds the wall clock is ahead of the monotonic one just now, rounded up: a time of
+    the wall clock is read as no later than it was."""
+    return -((time.monotonic_ns() - time.time_ns()) // NS_PER_MS)
 
 
 def boot_id() -> str:
