--- a/garnetrelay/metrics.py
+++ b/garnetrelay/metrics.py
@@ -28,10 +28,21 @@
     "current": "Messages taken on that have not ended.",
     "cluster_size": "Endpoints in the list.",
     "cluster_unhealthy": "Listed endpoints that are avoided now.",
+    "destinations_suspect": "Destinations of which the latest call failed.",
+    "destinations_out": "Destinations where most calls fail.",
+    "destinations_recovering": "Destinations in slow start.",
     "journal_failing": "Whether records cannot be written to the lasting folder now.",
 }
 
-GAUGES = ("current", "cluster_size", "cluster_unhealthy", "journal_failing")
+GAUGES = (
+    "current",
+    "cluster_size",
+    "cluster_unhealthy",
+    "destinations_suspect",
+    "destinations_out",
+    "destinations_recovering",
+    "journal_failing",
+)
 
 
 class Metrics:
@@ -44,6 +55,9 @@
         self.current = 0
         self.cluster_size = 0
         self.cluster_unhealthy = 0
+        self.destinations_suspect = 0
+        self.destinations_out = 0
+        self.destinations_recovering = 0
         self.journal_failing = 0
 
     def ended(self, end: End, klass: str) -> None:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -28,6 +28,7 @@
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.handover import Handover
 from garnetrelay.health import Health
+from garnetrelay.health_store import HealthStore
 from garnetrelay.journal import Entry, weight
 from garnetrelay.endpoint_cache import EndpointCache
 from garnetrelay.metrics import End, Metrics
@@ -50,6 +51,7 @@
 REPORT_DESTS = 3  # destinations named there
 LISTEN_ON = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 JOURNAL_RETRY = 0.05  # seconds between two tries to write what the disk did not take: a notice is due in 0.3
+HEALTH_SHARE = 64  # of the disk, a 64th is for what was seen of destinations in trouble
 CLIENT_WAIT_MS = 400  # for our answer: by so much at most a client's count of its time is ahead of ours
 
 
@@ -94,8 +96,11 @@
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
         shared = config.inherited_fd is not None  # another process may come beside us, or be there already
-        self.journal = Ownership(config.state, config.disk_bytes, shared)
-        self.handover = Handover(config.state, config.disk_bytes // LEARNED_SHARE) if shared else None
+        health_bytes = config.disk_bytes // HEALTH_SHARE
+        disk_bytes = config.disk_bytes - health_bytes
+        self.health_store = HealthStore(config.state, health_bytes)
+        self.journal = Ownership(config.state, disk_bytes, shared)
+        self.handover = Handover(config.state, disk_bytes // LEARNED_SHARE) if shared else None
         self.overseer: asyncio.Task[None] | None = None
         self.ending = False  # nothing more is taken on
         self.closed = False
@@ -236,6 +241,7 @@
             self.handover.close()
         if self.kept is not None:
             self.kept.close()
+        self.health_store.close()
 
     def _report(self) -> None:
         """Figures for the people on call: what we hold, what came back, and what holds up the rest."""
@@ -265,7 +271,13 @@
         if drain:
             drain -= sum(draining(self.catalog.packed.get(dest, b"")) for dest in self.used)
         self.metrics.cluster_unhealthy = avoided + drain
+        counts = self.pacer.health_counts()
+        self.metrics.destinations_suspect = counts[io.HealthState.SUSPECT]
+        self.metrics.destinations_out = counts[io.HealthState.OUT]
+        self.metrics.destinations_recovering = counts[io.HealthState.RECOVERING]
         self.metrics.journal_failing = int(self.journal.failing)
+        if not self.passed_on:
+            self.health_store.flush()
         self.observe = asyncio.get_running_loop().call_later(OBSERVE_EVERY, self._observe)
 
     # ---- the start
@@ -335,6 +347,7 @@
 
     async def _serve(self, inherited: socket.socket | None) -> None:
         """Send and serve from now on: nobody else does."""
+        self._restore_health()
         self._hear()
         self._recover(list(self.journal.entries.values()))
         self._turn()
@@ -348,6 +361,24 @@
             self.discovery.index,
         )
 
+    def _restore_health(self) -> None:
+        """What an earlier life saw of destinations in trouble binds this one. What a process before us hands
+        over is newer, and comes behind it."""
+        now = time.monotonic_ns()
+        records = self.health_store.load(now)
+        for record in records:
+            self._use(record.dest)
+        if not records:
+            return
+        self._post(io.HealthRestored(tuple(records)))
+        log.info(
+            "health kept from before: %d destinations in trouble, %d of them out, seen %.1f to %.1f s ago",
+            len(records),
+            sum(record.out for record in records),
+            min(now - record.bad_at for record in records) / SECOND,
+            max(now - record.bad_at for record in records) / SECOND,
+        )
+
     # ---- upgrades
 
     async def _oversee(self, inherited: socket.socket | None) -> None:
@@ -558,6 +589,9 @@
         self._admit({a.call: a for a in actions if isinstance(a, io.Refuse | io.Fail)})
         for action in actions:
             self._carry_out(action)
+        changed = [action.record for action in actions if isinstance(action, io.KeepHealth)]
+        if changed and not self.passed_on:
+            self.health_store.keep(changed)
         if self.journal.failing and self.journal_retry is None:
             self._retry_journal_later()
 
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -29,8 +29,11 @@
     Elsewhere,
     Event,
     Fail,
+    HealthRestored,
+    HealthState,
     HostEntry,
     Introduced,
+    KeepHealth,
     Learned,
     ListScope,
     Log,
@@ -54,6 +57,7 @@
     Wake,
     Withdrawn,
 )
+from starlingwick.health_record import record_of, restore, state_of
 from starlingwick.listed_rate import call_interval, longest_limit_wait
 from starlingwick.slow_start import SlowStart
 from starlingwick.state import NEVER, SECOND, Call, Destination, Host, Message
@@ -86,8 +90,14 @@
 MOST_USED = 1024  # destinations that are known without need: some seconds' traffic of a relay that sees many
 LOOKS = 4  # at what may be let go, each turn
 
+CHANGED_TO = {  # the first word of the line in the log
+    HealthState.WELL: "well",
+    HealthState.SUSPECT: "suspect",
+    HealthState.OUT: "outage",
+    HealthState.RECOVERING: "back",
+}
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
-LEARNED_SPANS = ("refusals", "sent", "arrived", "served")
+LEARNED_SPANS = ("refusals", "sent", "arrived", "served", "failures")
 NOT_LEARNED = ("number", "per_call", "hosts", "calls", *LEARNED_SPANS)  # in the list, or out
 LEARNED_OF_HOSTS = ("last_sent", "gap", "last_ok_sent", "bad", "retry_at")
 FAILED = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED)
@@ -119,6 +129,7 @@
         self.calls: dict[Call, None] = {}  # out, oldest first: each holds a slot
         self.elsewhere = 0  # calls out in another process of this relay: they hold slots too
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
+        self.changed: dict[Destination, None] = {}  # whose health has changed in this turn
         self.ask_at = NEVER
         self.asks_failed = 0  # in a row
         self.asked_at = NEVER  # when the last call for the list began
@@ -150,6 +161,8 @@
                     self.stopping_at, self.back_at = event.at, event.back_at
                 case Learned():
                     self.on_learned(event.facts)
+                case HealthRestored():
+                    self.on_health_restored(event)
                 case Overheard():
                     self.on_overheard(event)
                 case Told():
@@ -179,6 +192,7 @@
         self.plan()
         self.close_idle()
         self.let_go()
+        self.keep_health()
         if self.wake_at < self.alarm_at:
             self.alarm_at = max(self.wake_at, now + 1)
             self.alarm += 1
@@ -240,7 +254,7 @@
         dest, host = self.hosts[entry.host]
         host.usable = entry.availability is Availability.RUNNING
         if self.settings.listed_rates and (not dest.listed or host.rate != entry.rate):
-            dest.listed = entry.rate
+            self.slow_start.list_rate(dest, entry.rate)
         host.zone, host.rate = entry.zone, entry.rate
 
     def forget(self, name: str) -> None:
@@ -545,6 +559,27 @@
                 for fact, value in zip(LEARNED_OF_HOSTS, values, strict=False):  # a later one adds to the end
                     setattr(self.hosts[name][1], fact, value)
 
+    def on_health_restored(self, event: HealthRestored) -> None:
+        """What this relay saw in an earlier life binds it: it had been told."""
+        for record in event.records:
+            if record.host in self.hosts:
+                dest = self.hosts[record.host][0]
+                restore(dest, record)
+                dest.next_at = self.slow_start.time_for(
+                    dest, self.random.uniform(0.1, 1.0), self.now, self.now
+                )
+
+    def keep_health(self) -> None:
+        """Ask for what has changed in this turn to outlast the process."""
+        self.actions += [KeepHealth(record_of(dest)) for dest in self.changed if dest.hosts]
+        self.changed.clear()
+
+    def health_counts(self) -> Counter[HealthState]:
+        """How many of the destinations that are known in detail are in which state."""
+        return Counter(
+            state_of(dest, self.slow_start, self.now) for routes in self.routes.values() for dest in routes
+        )
+
     def on_overheard(self, o: Overheard) -> None:
         if o.host in self.hosts:
             dest, host = self.hosts[o.host]
@@ -566,7 +601,7 @@
         dest, host = call.dest, call.host
         left: float | None = None  # share of the limit, where one is reported
         if report is not None and report.limit > 0:
-            dest.listed, left = report.limit, report.left
+            dest.listed, dest.reported, left = report.limit, True, report.left
         if status is Status.OK:
             dest.refused_from = None
             self.pause(dest, False, left)
@@ -574,7 +609,7 @@
             self.mark(dest.served, self.settings.rules.ramp_time)
             if cost:
                 dest.mean += (cost - dest.mean) * (MEAN_WEIGHT if dest.mean else 1.0)
-            self.judge(call, True)
+            self.judge(call, True, "answered")
         elif status is Status.FULL:
             self.on_refused(call, wait, left)
         elif status in FAILED:
@@ -586,6 +621,7 @@
         dest.failed_at = self.now
         if call.blamed:  # it counted when it was overdue; now it tells how long the trouble has lasted
             if dest.bad_from is not None:
+                self.changed[dest] = None
                 dest.bad_at = self.now
                 # A partner that is back resets what hung there at all relays at once.
                 trial = self.slow_start.time_for(dest, self.random.uniform(0.1, 1.0), self.now, self.now)
@@ -593,7 +629,7 @@
         elif status in (Status.RESET, Status.TIMEOUT) and self.answers(dest):
             self.distrust(call.host)
         else:
-            self.judge(call, False)
+            self.judge(call, False, status.name.lower())
 
     def distrust(self, host: Host) -> None:
         """One connection broke or fell silent; the destination is well."""
@@ -627,20 +663,24 @@
         # A limit says that it is spent. Told to wait longer than one would make, the destination is shut and
         # says when it opens; untold, refusals that last with room left mean the same.
         limit_wait = longest_limit_wait(dest)
+        before = state_of(dest, self.slow_start, self.now)
         if wait > limit_wait:
             self.size_up(dest, dest.refused_from)
+            self.changed[dest] = None
             dest.bad_at = dest.ramp_from = self.now + wait
             dest.warm_at = dest.ramp_from + self.settings.rules.ramp_time
             dest.next_at = self.slow_start.time_for(dest, self.random.random(), dest.ramp_from, self.now)
+            self.log_health(dest, call.host, before, "told to wait")
         if not wait and (left is None or left > HALF_LEFT):  # shut, perhaps: see SlowStart.may_begin
             self.size_up(dest, dest.refused_from)
+            self.changed[dest] = None
             dest.bad_at = self.now
         rare = self.call_interval(dest) > CUT_SPAN  # two in a row are enough then
         lasts = 0 if rare else limit_wait - wait
         room_left = left is None or left > HALF_LEFT
         if wait <= limit_wait and room_left and self.now - dest.refused_from > lasts:
             dest.failed_at = self.now
-            self.judge(call, False)
+            self.judge(call, False, "refused")
 
     def pause(self, dest: Destination, refused: bool, left: float | None) -> None:
         """Own rest after a call, for relays that see too few refusals to cut a rate. Grows by refusals (also
@@ -662,38 +702,53 @@
         dest.rest_until = self.now + round(dest.rest * self.random.uniform(0.5, 1.5))
 
     def size_up(self, dest: Destination, since: int) -> None:
-        """At the first sign of trouble: this relay's part of what is listed or reported, or was delivered."""
+        """At the first sign of trouble: what was answered well until now."""
         if dest.bad_from is None:
             dest.bad_from = since
-            served = self.rate(dest.served, self.settings.rules.ramp_time)
-            dest.part = max(served, dest.listed / self.settings.relays)
+            dest.served_before = self.rate(dest.served, self.settings.rules.ramp_time)
 
-    def judge(self, call: Call, good: bool) -> None:
-        """Health from outcomes, and when to try again after a bad one."""
+    def judge(self, call: Call, good: bool, reason: str) -> None:
+        """Health from outcomes, and when to try again after a bad one; ``reason`` is for the log."""
         dest, host = call.dest, call.host
+        before = state_of(dest, self.slow_start, self.now)
         for one in (dest, host):
             one.bad += BAD_WEIGHT * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
-        if good and not dest.out and (was or self.slow_start.may_begin(dest, self.now)):
-            # Nobody saw it come back: half of the time since the last failure, in the mean.
-            dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
-            dest.warm_at = self.now + self.settings.rules.ramp_time
+        if good and not dest.out and (was or dest.unproved or self.slow_start.may_begin(dest, self.now)):
+            self.slow_start.begin(dest, self.now)
+            self.changed[dest] = None
             # The trial was a call of the ramp. Where this relay sends more than a few, one is within chance.
             spent = 1.0 if self.slow_start.sees_little(dest) else self.random.random()
             dest.next_at = self.slow_start.time_for(dest, spent, self.now, self.now)
-            self.log(f"back dest={dest.number} host={host.name}")
         elif good and not dest.out and not self.slow_start.is_on(dest, self.now):
+            if dest.bad_from is not None:
+                self.changed[dest] = None
             dest.bad_from = None
         elif not good:
             self.size_up(dest, self.now)
+            self.changed[dest] = None
             dest.bad_at = self.now
+            self.mark(dest.failures, self.settings.rules.ramp_time)
             if dest.out:
                 dest.ramp_from = None
+            elif self.slow_start.is_on(dest, self.now) and self.slow_start.failed(dest, self.now):
+                self.log(f"slow start anew dest={dest.number} host={host.name}")
             host.retry_at = self.slow_start.time_for(dest, self.random.uniform(0.1, 1.0), self.now, self.now)
             sent_since = any(other.sent_at > call.sent_at for other in dest.calls)  # and paces the next
             dest.next_at = max(dest.next_at, host.retry_at) if sent_since else host.retry_at
-            if dest.out and not was:
-                self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
+        self.log_health(dest, host, before, reason)
+
+    def log_health(self, dest: Destination, host: Host, before: HealthState, reason: str) -> None:
+        """One line for each change of state, with what the destination may get from here and what it got."""
+        state = state_of(dest, self.slow_start, self.now)
+        if state is before:
+            return
+        interval = self.slow_start.time_for(dest, 1.0, self.now, self.now) - self.now
+        self.log(
+            f"{CHANGED_TO[state]} dest={dest.number} host={host.name} was={before.value} reason={reason}"
+            f" part={self.slow_start.part(dest):.3f}/s budget={SECOND / interval:.3f}/s"
+            f" sent={self.rate(dest.sent, SENT_SPAN):.2f}/s"
+        )
 
     def late_after(self, dest: Destination) -> int:
         return round(LATE * dest.mean) or min(c.aim for c in self.settings.classes)
@@ -711,7 +766,7 @@
                 if self.answers(call.dest):
                     self.distrust(call.host)
                 else:
-                    self.judge(call, False)
+                    self.judge(call, False, "overdue")
             else:
                 self.wake_at = min(self.wake_at, due)
 
@@ -775,7 +830,7 @@
         here = sum(len(route.calls) for route in self.routes[dest.number])
         if here >= max(1, int(SLOT_SHARE * self.settings.slots)):
             return NEVER  # routes apart are one destination where slots are shared out
-        if dest.bad > SUSPECT or self.slow_start.is_on(dest, self.now):
+        if dest.bad > SUSPECT or self.recovers(dest):
             when = max(when, dest.next_at)
         if m is not None:
             when = max(when, m.not_before)
@@ -789,6 +844,11 @@
                 when = max(when, m.deadline - self.last_call(m, dest))  # let others or a probe try first
         return when
 
+    def recovers(self, dest: Destination) -> bool:
+        """Whether the budget of a destination that recovers spaces the calls there."""
+        waiting = len(self.waiting.get(dest.number, ()))
+        return self.slow_start.binds(dest, waiting, self.now)
+
     def paced(self, dest: Destination) -> int:
         """When our own pace lets the next call go there: no rule asks for it."""
         return dest.rest_until if dest.ceiling is None else max(dest.rest_until, dest.next_call)
@@ -798,7 +858,7 @@
         all that are owed one there."""
         owed, mean = self.owed_at[dest.number], dest.mean or self.late_after(dest) / LATE
         needs = round(mean * max(LATE, owed / self.most_calls(dest, False)))
-        if dest.bad > SUSPECT or self.slow_start.is_on(dest, self.now):
+        if dest.bad > SUSPECT or self.recovers(dest):
             needs = max(needs, self.slow_start.time_for(dest, owed, self.now, self.now) - self.now)
         return needs
 
@@ -941,7 +1001,7 @@
         host.last_sent = self.now
         if dest.ceiling is not None:
             dest.next_call = max(dest.next_call, self.now - SECOND) + round(SECOND / dest.ceiling)
-        if dest.bad > SUSPECT or self.slow_start.is_on(dest, self.now):
+        if dest.bad > SUSPECT or self.recovers(dest):
             dest.next_at = self.slow_start.time_for(dest, 1.0, self.now, self.now)
 
     def close_idle(self) -> None:
@@ -997,7 +1057,8 @@
                 pause = max(dest.wait_until, dest.rest_until, dest.next_call, self.now) - self.now
                 lines.append(
                     f"dest={number} waiting={len(self.waiting[number])} out={len(dest.calls)}"
-                    f" most={self.most_calls(dest)} ceiling={dest.ceiling or 0:.2f}/s part={dest.part:.2f}/s"
+                    f" most={self.most_calls(dest)} ceiling={dest.ceiling or 0:.2f}/s"
+                    f" part={self.slow_start.part(dest):.2f}/s"
                     f" listed={dest.listed:.2f}/s mean={dest.mean / SECOND:.3f}s bad={dest.bad:.2f}"
                     f" pause={pause / SECOND:.2f}s cold={self.slow_start.is_on(dest, self.now)}"
                 )
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -216,6 +216,40 @@
     entries: tuple[HostEntry, ...]
 
 
+class HealthState(Enum):
+    """What calls to a destination have shown of it."""
+
+    WELL = "well"
+    SUSPECT = "suspect"  # a call failed, and none was answered well since
+    OUT = "out"  # most calls fail: one trial at a time
+    RECOVERING = "recovering"  # slow start
+
+
+@dataclass(frozen=True, slots=True)
+class HealthRecord:
+    """What outlasts the process of a destination that is in trouble or recovers. Times are of the machine's
+    monotonic clock, nanoseconds; None where there was none. ``bad_from`` None: it is well."""
+
+    dest: int
+    host: str  # one endpoint of it: of the route, where routes are apart
+    bad: float  # share of bad outcomes, newest weigh most
+    out: bool
+    bad_from: int | None
+    bad_at: int
+    failed_at: int
+    ramp_from: int | None
+    warm_at: int
+    unproved: bool
+    served_before: float  # calls a second
+
+
+@dataclass(frozen=True, slots=True)
+class HealthRestored:
+    """What an earlier life of this relay had seen of destinations that are used from now on."""
+
+    records: tuple[HealthRecord, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
     """A new message."""
@@ -337,6 +371,7 @@
     | Arrived
     | Recovered
     | Learned
+    | HealthRestored
     | Overheard
     | Told
     | Elsewhere
@@ -403,6 +438,13 @@
     dest: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeepHealth:
+    """Let this outlast the process: the next life is bound by what this one has seen."""
+
+    record: HealthRecord
+
+
 @dataclass(frozen=True, slots=True)
 class Wake:
     """Ask for an alarm after this long."""
@@ -423,4 +465,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Close | Released | Wake | Subscribe | Log
+Action = Send | Refuse | Fail | Cancel | Probe | Close | Released | KeepHealth | Wake | Subscribe | Log
--- a/starlingwick/slow_start.py
+++ b/starlingwick/slow_start.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
 
 from starlingwick.interface import Settings
 from starlingwick.listed_rate import call_interval
 from starlingwick.state import SECOND, Destination
 
-BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
+HEADROOM = 1.5  # times what was answered well: a destination takes that much more at most, for all we know
+UNSEEN_CALLS = 2.0  # in a ramp's time: what a relay that sees few calls may have missed by chance
+FAILING_SHARE = 1 / 3  # of the latest outcomes: with more than that failing, it has not come back yet
 
 
 class SlowStart:
@@ -26,23 +29,68 @@
         """Whether the destination may still be cold after an outage."""
         return dest.ramp_from is not None and now < dest.warm_at
 
+    def binds(self, dest: Destination, waiting: int, now: int) -> bool:
+        """Whether calls are spaced by the budget: in slow start, and behind it, for as long again at most,
+        while more waits than the warm destination may get from this relay within ``fall``. All relays would
+        let go of that at once, and some take it for warm before it is."""
+        if dest.ramp_from is None or self._is_over(dest, now):
+            return False
+        at_once = 1 + self.rules.fall_multiple * self.part(dest) * self.rules.fall / SECOND
+        return now < dest.warm_at or waiting > at_once
+
     def may_begin(self, dest: Destination, now: int) -> bool:
         """Whether an outage may lie behind this good answer: trouble, and no other good answer for ``fall``
         before. A failure since the last one will do; of refusals, which a limit makes too, where this relay
         sees so little that it sees no more of an outage than one bad outcome."""
+        if dest.bad_from is None or dest.bad_at <= (dest.ramp_from or 0) or self.is_on(dest, now):
+            return False
         answered = dest.served[-2] if len(dest.served) > 1 else 0
-        return (
-            dest.bad_from is not None
-            and dest.bad_at > (dest.ramp_from or 0)
-            and not self.is_on(dest, now)
-            and now - answered > self.rules.fall
-            and (dest.failed_at > answered or self.sees_little(dest))
-        )
+        return now - answered > self.rules.fall and (dest.failed_at > answered or self.sees_little(dest))
 
     def sees_little(self, dest: Destination) -> bool:
         """Whether this relay's part of what a destination takes is under a call in ``fall``, or unknown."""
         return not 0 < call_interval(dest, self.relays) <= self.rules.fall
 
+    def list_rate(self, dest: Destination, rate: float) -> None:
+        """The list names another rate, calls a second. A destination that takes less from now on will not be
+        served what it was before the trouble."""
+        if 0 < rate < dest.listed and not dest.reported:
+            dest.served_before *= rate / dest.listed
+        dest.listed, dest.reported = rate, False
+
+    def begin(self, dest: Destination, now: int) -> None:
+        """A good answer behind an outage. Nobody saw the destination come back: half of the time since the
+        last failure, in the mean."""
+        dest.ramp_from = now - (now - dest.bad_at) // 2
+        dest.warm_at = now + self.rules.ramp_time
+        dest.unproved = False
+
+    def failed(self, dest: Destination, now: int) -> bool:
+        """A call failed in slow start. Whether slow start begins anew: a destination that fails most calls
+        answers some of them well before it is back."""
+        if not self.is_failing(dest, now):
+            return False
+        dest.ramp_from = now
+        dest.warm_at = now + self.rules.ramp_time
+        dest.unproved = True
+        return True
+
+    def is_failing(self, dest: Destination, now: int) -> bool:
+        """Whether more than a share of the latest outcomes, over twice ``fall``, were failures."""
+        since = now - 2 * self.rules.fall
+        bad = len(dest.failures) - bisect_right(dest.failures, since)
+        good = len(dest.served) - bisect_right(dest.served, since)
+        return bad > FAILING_SHARE * (bad + good)
+
+    def part(self, dest: Destination) -> float:
+        """This relay's part of what the destination takes when warm, calls a second: what it was served
+        before the trouble, or an even part of the listed rate where that is more. Listed rates may be half
+        too high, and over uneven traffic the larger of the two adds up to more than the destination takes:
+        what was served bounds it. Over a fleet that adds up to no more than the destination has answered."""
+        unseen = UNSEEN_CALLS * SECOND / max(self.rules.ramp_time, SECOND)
+        bound = HEADROOM * (dest.served_before + unseen)
+        return max(dest.served_before, min(bound, dest.listed / self.relays))
+
     def time_for(self, dest: Destination, calls: float, start: int, now: int) -> int:
         """When this relay's part of what a destination may get, in trouble or in slow start, has grown by so
         many calls from ``start`` on. All relays share it, or as many as can have had a call for it in the
@@ -50,12 +98,16 @@
         second."""
         rules = self.rules
         lasted = max(rules.ramp_time, SECOND, dest.bad_at - (dest.bad_from or dest.bad_at))
-        part = max(dest.part / SECOND, 1 / lasted, 1 / SECOND / self.relays)
-        pace = BUDGET * rules.fall_multiple * part
-        if not self.is_on(dest, now) or dest.ramp_from is None:
+        part = max(self.part(dest) / SECOND, 1 / lasted, 1 / SECOND / self.relays)
+        pace = rules.fall_multiple * part
+        if dest.ramp_from is None or self._is_over(dest, now):
             return start + round(calls / (pace * rules.start_capacity))
         grows = pace * (1 - rules.start_capacity) / max(1, rules.ramp_time)
         first = pace * rules.start_capacity + grows * max(0, start - dest.ramp_from)
         if first >= pace:
             return start + round(calls / pace)
         return start + round(2 * calls / (first + math.sqrt(first * first + 2 * grows * calls)))
+
+    def _is_over(self, dest: Destination, now: int) -> bool:
+        """Whether the latest slow start paces nothing any more: long past, or behind it there was trouble."""
+        return now >= dest.warm_at + self.rules.ramp_time or now >= dest.warm_at < dest.bad_at
--- a/starlingwick/state.py
+++ b/starlingwick/state.py
@@ -36,6 +36,7 @@
     per_call: int
     hosts: list[Host] = field(default_factory=list)
     listed: float = 0.0  # calls a second it takes from all relays, as listed or reported; 0: unknown
+    reported: bool = False  # that rate is its own report of its limit, not the list's figure
     ceiling: float | None = None  # calls a second of this relay
     ceiling_at: int = 0  # when the ceiling last changed
     cut_at: int = 0  # when it was last cut
@@ -53,13 +54,15 @@
     failed_at: int = 0  # the latest failure, or refusal that no limit explains
     out: bool = False  # half open: one trial at a time
     ramp_from: int | None = None  # when it came back, in the mean
+    unproved: bool = False  # a failure began the ramp anew, and no good answer has come since
     warm_at: int = 0  # the end of the ramp, if it came back as late as it can have
-    part: float = 0.0  # calls a second of this relay's part of what it takes when warm
+    served_before: float = 0.0  # calls a second of this relay that were answered well before the trouble
     next_at: int = 0  # trial while in trouble, spacing on the ramp
     refusals: list[int] = field(default_factory=list)  # times, oldest first, as in the next three
     sent: list[int] = field(default_factory=list)
     arrived: list[int] = field(default_factory=list)
     served: list[int] = field(default_factory=list)
+    failures: list[int] = field(default_factory=list)  # failed calls, and refusals that no limit explains
     calls: list[Call] = field(default_factory=list)
 
 
--- a/starlingwick/wirehost.py
+++ b/starlingwick/wirehost.py
@@ -161,8 +161,8 @@
             return f"health_check host={host}"
         case io.Close(host):
             return f"close host={host}"
-        case io.Released(dest):
-            raise AssertionError(f"destination {dest} was never introduced here")
+        case io.Released() | io.KeepHealth():
+            raise AssertionError(f"the wire has no {action}")
         case io.Wake(after, token):
             return f"defer wait={after} ctx={token}"
         case io.Subscribe():
@@ -267,7 +267,11 @@
         out: list[str] = []
         for instance, events in pending.items():
             try:
-                actions = self.pacers[instance].handle(now, events)
+                actions = [
+                    action
+                    for action in self.pacers[instance].handle(now, events)
+                    if not isinstance(action, io.KeepHealth)  # nothing outlasts an instance here
+                ]
             except Exception as error:  # the day must stop with the text, not go on without an instance
                 message = " ".join(f"{type(error).__name__}: {error}".split())
                 out += [f"at relay={instance}", f"fatal message={message}"]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,4 +1,4 @@
-"""Many relays' Pacers before one partner that goes down and comes back cold; the clock is the test's."""
+"""Many relays' Pacers before one destination that goes down and comes back cold; the clock is the test's."""
 
 from __future__ import annotations
 
@@ -10,27 +10,24 @@
 from typing import Any
 
 from starlingwick import interface as io
+from starlingwick.health_record import record_of
 from tests.helpers import MS, SAFE, Relay, S, entry
+from tests.partner import HUNG, MESSAGE_WEIGHT, RESET, SOMETIMES_TOLD, Arrival, Outage, Partner
 from tests.test_rules import recovered
 
-OUTAGES = ("refused", "silent", "error", "full", "shut")  # what calls meet while the partner is down
-HANGING = ("hung", "reset")  # calls hang until they are given up; those of "reset" break when it is back
-SOMETIMES_TOLD = "sometimes told"  # shut, and three refusals in ten tell until when
+OUTAGES = ("refused", "silent", "error", "full", "shut")  # what calls meet while the destination is down
+HANGING = (HUNG, RESET)
 UP = 1010 * S  # the relays start at 1000 s; by then what they were served has a rate
+RESTART_AFTER = 600 * MS  # from SIGKILL to the next start
+KILLED_SHARE = 0.4  # of the relays, where some are killed
+KILLED_WITHIN = 2 * S  # of the return, before or after
 
-
-@dataclass(slots=True)
-class Arrival:
-    """A call or probe that reached the partner since its return."""
-
-    at: int
-    relay: int
-    told: bool  # whether its relay had been told of a failed or refused call or probe in the outage
+__all__ = ["HANGING", "OUTAGES", "SOMETIMES_TOLD", "Play"]
 
 
 @dataclass
 class Play:
-    """One outage. ``capacity`` and ``listed`` are calls a second, ``load`` a share of the capacity."""
+    """One destination of ``capacity`` calls a second, and its outage. ``load`` is a share of the capacity."""
 
     relays: int
     seed: int
@@ -43,53 +40,93 @@
     even: bool = False
     owed: float = 0.0  # seconds of traffic that each relay, restarted in the outage, finds untried on record
     mean: float = 0.1  # seconds that a call takes
+    crowd: float = 1.0  # traffic from the return on, times what it was
+    killed: str = ""  # some relays about the return: their folder is "kept" or "lost"
+    answered: float = 0.0  # share of the calls that is answered well in the outage
+    again: float | None = None  # seconds after the return until it goes down once more, for half as long
+    kind: int = 0  # 0 plain, 1 routes apart, 2 four messages a call
+    halved: bool = (
+        False  # in the outage the list says half the rate from now on, and the destination takes it
+    )
+    limited: bool = False  # it refuses what passes its present capacity
     rules: dict[str, Any] = field(default_factory=dict)
-    arrivals: list[Arrival] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         told = (self.seed, self.relays, float(self.capacity), self.outage, self.klass)
         self.random = random.Random(" ".join(map(str, told)))
         self.down_at = UP + round(self.random.uniform(0.0, 2.0) * S)
         self.back_at = self.down_at + round(self.lasts * S)
+        self.hosts = ("a", "b") if self.kind == 1 else ("a",)
         self.fleet = [self.start() for _ in range(self.relays)]
-        self.told = [False] * self.relays
+        self.told: list[set[int]] = [set() for _ in self.fleet]  # of which outages, in any life
         self.queue: list[tuple[int, int, int, int, io.Event]] = []
         self.number = count()
         self.lives = [0] * self.relays
+        self.dead: set[int] = set()
         self.rules_ = self.fleet[0].settings.rules
+        self.partners = {host: self.partner() for host in self.hosts}
+
+    @property
+    def end(self) -> int:
+        return self.outages()[-1].back_at + self.rules_.ramp_time
+
+    def outages(self) -> list[Outage]:
+        outages = [Outage(self.outage, self.down_at, self.back_at, self.answered)]
+        if self.again is not None:
+            down_at = self.back_at + round(self.again * S)
+            outages.append(Outage(self.outage, down_at, down_at + round(self.lasts / 2 * S), self.answered))
+        return outages
+
+    def partner(self) -> Partner:
+        capacity = self.capacity / (2 if self.halved else 1) / len(self.hosts)
+        return Partner(capacity, self.mean, self.outages(), self.rules_, self.random, self.limited)
 
     def start(self, at: int = 1000 * S) -> Relay:
-        listed = self.listed is not None
-        return Relay(
-            entry("a", rate=self.listed or 1.0),
+        relay = Relay(
+            *self.entries(at),
             seed=self.random.randrange(1 << 60),
             at=at,
             relays=self.relays,
             slots=48,
-            listed_rates=listed,
+            listed_rates=self.listed is not None,
             rules=self.rules,
         )
+        return relay
+
+    def entries(self, at: int) -> list[io.HostEntry]:
+        rate = (self.listed or 1.0) / len(self.hosts)
+        if self.halved and at > self.down_at:
+            rate /= 2
+        return [entry(host, rate=rate, kind=self.kind) for host in self.hosts]
 
     def run(self) -> Play:
-        end = self.back_at + self.rules_.ramp_time
         parts = [1.0 if self.even else self.random.expovariate(1.0) for _ in self.fleet]
         for relay, part in enumerate(parts):
-            rate = self.load * self.capacity * part / sum(parts)
-            at = 1000 * S + self.later(1 / rate)
-            while at < end:
-                self.push(at, relay, self.fleet[relay].message(self.klass))
-                at += self.later(1 / rate)
+            self.arrive(relay, self.load * self.capacity * part / sum(parts))
         if self.owed:
-            self.restart(parts)
+            self.restart_all(parts)
+        if self.killed:
+            self.kill_some()
+        if self.halved:
+            for relay in range(self.relays):
+                news = io.Roster(io.ListScope.CHANGES, tuple(self.entries(self.back_at)))
+                self.push(self.down_at + S, relay, news)
         while self.queue:
             at, _, relay, life, event = heapq.heappop(self.queue)
-            if at >= end:
+            if at >= self.end:
                 break
             if life in (self.lives[relay], -1):
                 self.turn(at, relay, event)
         return self
 
-    def restart(self, parts: list[float]) -> None:
+    def arrive(self, relay: int, rate: float) -> None:
+        """A relay's messages, at ``rate`` a second; a crowd comes from the return on."""
+        at = 1000 * S + self.later(1 / rate)
+        while at < self.end:
+            self.push(at, relay, self.fleet[relay].message(self.klass))
+            at += self.later(1 / rate / (self.crowd if at >= self.back_at else 1.0))
+
+    def restart_all(self, parts: list[float]) -> None:
         for relay, part in enumerate(parts):
             at = self.random.randrange(self.down_at, self.back_at)
             self.push(at, relay, io.Elsewhere(0))
@@ -100,63 +137,107 @@
                 self.push(at, relay, recovered(f"r{taken}", self.klass, patience=patience))
                 taken += self.later(each)
 
-    def turn(self, at: int, number: int, *events: io.Event) -> None:
+    def kill_some(self) -> None:
+        for relay in range(self.relays):
+            if self.random.random() < KILLED_SHARE:
+                at = self.back_at + self.random.randrange(-KILLED_WITHIN, KILLED_WITHIN)
+                self.push(at, relay, io.Elsewhere(1))
+                self.push(at + RESTART_AFTER, relay, io.Elsewhere(0))
+
+    def turn(self, at: int, number: int, event: io.Event) -> None:
+        match event:
+            case io.Elsewhere(1):
+                self.lives[number] += 1
+                self.dead.add(number)
+                return
+            case io.Elsewhere(0):
+                self.begin_life(at, number)
+                return
+        if number in self.dead:  # its clients go to another relay
+            if isinstance(event, io.Arrived) and (others := set(range(self.relays)) - self.dead):
+                number = self.random.choice(sorted(others))
+                relay = self.fleet[number]
+                event = relay.message(self.klass)
+            else:
+                return
+        self.feed(at, number, event)
+
+    def feed(self, at: int, number: int, *events: io.Event) -> None:
         relay = self.fleet[number]
-        if any(isinstance(event, io.Elsewhere) for event in events):
-            count_, self.fleet[number] = relay.count, self.start(at)
-            relay = self.fleet[number]
-            relay.count = count_
-            self.told[number] = False
-            self.lives[number] += 1
         relay.turn(*events, after=at - relay.now)
         for event in events:
             if isinstance(event, io.Verdict | io.Probed) and event.status is not io.Status.OK:
-                self.told[number] |= at >= self.down_at and event.status is not io.Status.ABANDONED
+                if event.status is not io.Status.ABANDONED:
+                    self.told[number] |= {self.latest_outage(at)}
+        self.carry_out(at, number)
+
+    def begin_life(self, at: int, number: int) -> None:
+        """The next process: with its folder what it held goes on, without it others get that."""
+        before = self.fleet[number]
+        self.lives[number] += number not in self.dead
+        self.dead.discard(number)
+        after = self.fleet[number] = self.start(at)
+        after.count = before.count
+        self.carry_out(at, number)
+        held = [m for m in before.pacer.messages.values() if not m.over]
+        if self.killed == "kept":
+            events = self.kept(before) + [self.again_taken(at, m) for m in held]
+            for event in events:
+                if isinstance(event, io.Recovered):
+                    after.attempts[event.call] = event.attempts - 1
+            self.feed(at, number, *events)
+        elif self.killed == "lost":
+            for m in held:
+                other = self.random.randrange(self.relays)
+                if other not in self.dead and at < m.deadline:
+                    self.feed(at, other, self.fleet[other].message(self.klass, patience=m.deadline - at))
+
+    def kept(self, before: Relay) -> list[io.Event]:
+        """What the folder holds of a relay's health records."""
+        routes = [route for known in before.pacer.routes.values() for route in known]
+        records = tuple(record_of(route) for route in routes if route.bad_from is not None)
+        return [io.HealthRestored(records)]
+
+    def again_taken(self, at: int, m: Any) -> io.Recovered:
+        ran_at = m.ran_at if m.ran_at is not None else m.call.sent_at if m.call is not None else None
+        return recovered(
+            m.name,
+            self.klass,
+            patience=m.deadline - at,
+            attempts=m.attempts,
+            ran_ago=None if ran_at is None else at - ran_at,
+        )
+
+    def carry_out(self, at: int, number: int) -> None:
+        relay = self.fleet[number]
+        calls: dict[tuple[str, int], list[str]] = {}
         for action in relay.actions:
             match action:
                 case io.Wake(after, token):
                     self.push(at + after, number, io.Alarm(token))
-                case io.Send(call, _, stop_at):
-                    ends, status = self.meet(at, number, stop_at)
-                    verdict = relay.verdict(call, status, self.wait(ends, status), ends - at)
-                    self.push(ends, number, verdict, self.lives[number])
+                case io.Send(call, host, _):
+                    call_out = relay.pacer.messages[call].call
+                    calls.setdefault((host, id(call_out)), []).append(call)
                 case io.Probe(host, stop_at):
-                    ends, status = self.meet(at, number, stop_at)
+                    ends, status = self.meet(at, number, host, stop_at, 1)
                     self.push(ends, number, io.Probed(host, status, ends - at, None), self.lives[number])
+        stops = {a.call: a.stop_at for a in relay.actions if isinstance(a, io.Send)}
+        for (host, _), names in calls.items():
+            ends, status = self.meet(at, number, host, min(stops[name] for name in names), len(names))
+            for name in names:
+                wait = self.partners[host].wait(ends, status)
+                verdict = relay.verdict(name, status, wait, ends - at)
+                self.push(ends, number, verdict, self.lives[number])
 
-    def meet(self, at: int, relay: int, stop_at: int) -> tuple[int, io.Status]:
-        """What becomes of a call: when its outcome comes, and which."""
-        ends, status = at + self.later(self.mean), io.Status.OK
-        if at >= self.back_at:
-            self.arrivals.append(Arrival(at, relay, self.told[relay]))
-        elif ends >= self.down_at:
-            match self.outage:
-                case "refused":
-                    ends = at + MS
-                    status = io.Status.CONNECT_FAILED
-                    if at < self.down_at:
-                        ends, status = self.down_at, io.Status.RESET
-                case "silent":
-                    ends, status = stop_at, io.Status.TIMEOUT
-                    if at >= self.down_at and self.random.random() < 0.5:
-                        ends, status = min(at + S, stop_at), io.Status.CONNECT_FAILED
-                case "error":
-                    status = io.Status.ERROR
-                case "full" | "shut" | "sometimes told":
-                    status = io.Status.FULL
-                case "hung":
-                    ends, status = stop_at, io.Status.TIMEOUT
-                case "reset":
-                    ends = min(stop_at, self.back_at)
-                    status = io.Status.RESET if ends < stop_at else io.Status.TIMEOUT
-        return (ends, status) if ends <= stop_at else (stop_at, io.Status.TIMEOUT)
-
-    def wait(self, at: int, status: io.Status) -> int:
-        """What a shut partner tells: when it opens again."""
-        told = status is io.Status.FULL and (
-            self.outage == "shut" or self.outage == SOMETIMES_TOLD and self.random.random() < 0.3
-        )
-        return max(0, self.back_at - at) if told else 0
+    def meet(self, at: int, relay: int, host: str, stop_at: int, messages: int) -> tuple[int, io.Status]:
+        partner = self.partners[host]
+        weight = 1.0 + MESSAGE_WEIGHT * (messages - 1)
+        partner.arrive(Arrival(at, relay, self.latest_outage(at) in self.told[relay], weight))
+        return partner.meet(at, stop_at)
+
+    def latest_outage(self, at: int) -> int:
+        """The number of the latest outage that has begun; -1 before the first."""
+        return sum(outage.down_at <= at for outage in self.outages()) - 1
 
     def later(self, mean: float) -> int:
         return max(MS, round(self.random.expovariate(1 / mean) * S))
@@ -166,27 +247,24 @@
             life = self.lives[relay] if isinstance(event, io.Alarm) else -1
         heapq.heappush(self.queue, (at, next(self.number), relay, life, event))
 
-    def warm(self, since: int) -> float:
-        """The warm destination's seconds in which it could take what it may take in this time of its ramp."""
-        ramp, least = self.rules_.ramp_time / S, self.rules_.start_capacity
-        t = min(since / S, ramp)
-        return least * t + (1 - least) * t * t / (2 * ramp) + max(0.0, since / S - ramp)
+    # ---- judged
 
-    def excess(self) -> list[tuple[float, Arrival, int, float, float]]:
+    def excess(self) -> list[tuple[float, Arrival, float, float, float]]:
         """For each arrival, by how many calls the span of ``fall`` that ends with it (or begins with the
-        return) passes N + 2 sqrt(N) + 2."""
-        found = []
-        first = 0
-        for last, arrival in enumerate(self.arrivals):
-            begin = max(self.back_at, arrival.at - self.rules_.fall)
-            while self.arrivals[first].at < begin:
-                first += 1
-            budget = (
-                self.rules_.fall_multiple
-                * self.capacity
-                * (self.warm(begin + self.rules_.fall - self.back_at) - self.warm(begin - self.back_at))
-            )
-            n = last - first + 1
-            told = sum(a.told for a in self.arrivals[first : last + 1]) / n
-            found.append((n - (budget + 2 * math.sqrt(budget) + 2), arrival, n, budget, told))
-        return found
+        return) passes N + 2 sqrt(N) + 2: harder than the page where N is under 30."""
+        return [
+            (weight - (budget + 2 * math.sqrt(budget) + 2), arrival, weight, budget, told)
+            for partner in self.partners.values()
+            for number in range(len(partner.outages))
+            for arrival, weight, budget, told in partner.spans(number)
+        ]
+
+    def pushed_over(self) -> bool:
+        """Whether the rule is broken by the page's own bound."""
+        return any(partner.pushed_over() for partner in self.partners.values())
+
+    def used(self) -> float:
+        """Calls in the ramp behind the last return, over what the settings allow in it."""
+        calls = sum(a.weight for partner in self.partners.values() for a in partner.arrivals[-1])
+        budget = sum(partner.budget(0, self.rules_.ramp_time) for partner in self.partners.values())
+        return calls / budget
