--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -705,7 +705,8 @@
         """At the first sign of trouble: what was answered well until now."""
         if dest.bad_from is None:
             dest.bad_from = since
-            dest.served_before = self.rate(dest.served, self.settings.rules.ramp_time)
+            served = self.rate(dest.served, self.settings.rules.ramp_time)
+            self.slow_start.size_up(dest, served, self.now - (self.started or self.now))
 
     def judge(self, call: Call, good: bool, reason: str) -> None:
         """Health from outcomes, and when to try again after a bad one; ``reason`` is for the log."""
--- a/starlingwick/slow_start.py
+++ b/starlingwick/slow_start.py
@@ -15,6 +15,7 @@
 
 HEADROOM = 1.5  # times what was answered well: a destination takes that much more at most, for all we know
 UNSEEN_CALLS = 2.0  # in a ramp's time: what a relay that sees few calls may have missed by chance
+UNSEEN_SHARE = 1 / 8  # of an even part: what a relay with no traffic for it yet may send all the same
 FAILING_SHARE = 1 / 3  # of the latest outcomes: with more than that failing, it has not come back yet
 
 
@@ -87,9 +88,15 @@
         before the trouble, or an even part of the listed rate where that is more. Listed rates may be half
         too high, and over uneven traffic the larger of the two adds up to more than the destination takes:
         what was served bounds it. Over a fleet that adds up to no more than the destination has answered."""
-        unseen = UNSEEN_CALLS * SECOND / max(self.rules.ramp_time, SECOND)
-        bound = HEADROOM * (dest.served_before + unseen)
-        return max(dest.served_before, min(bound, dest.listed / self.relays))
+        even = dest.listed / self.relays
+        unseen = max(UNSEEN_CALLS * SECOND / max(self.rules.ramp_time, SECOND), UNSEEN_SHARE * even)
+        return max(dest.served_before, min(HEADROOM * (dest.served_before + unseen), even))
+
+    def size_up(self, dest: Destination, served: float, watched: int) -> None:
+        """At the first sign of trouble: what was answered well until now, calls a second. For the time that a
+        young relay has not ``watched`` of a ramp's, in nanoseconds, it takes an even part to be its own."""
+        known = min(1.0, watched / max(1, self.rules.ramp_time))
+        dest.served_before = known * served + (1 - known) * dest.listed / self.relays / HEADROOM
 
     def time_for(self, dest: Destination, calls: float, start: int, now: int) -> int:
         """When this relay's part of what a destination may get, in trouble or in slow start, has grown by so
