--- a/starlingwick/slow_start.py
+++ b/starlingwick/slow_start.py
@@ -14,6 +14,7 @@
 from starlingwick.state import SECOND, Destination
 
 HEADROOM = 1.5  # times what was answered well: a destination takes that much more at most, for all we know
+TRIAL_SHARE = 0.9  # of the budget at the start: who tries has not seen it come back
 UNSEEN_CALLS = 2.0  # in a ramp's time: what a relay that sees few calls may have missed by chance
 UNSEEN_SHARE = 1 / 8  # of an even part: what a relay with no traffic for it yet may send all the same
 FAILING_SHARE = 1 / 3  # of the latest outcomes: with more than that failing, it has not come back yet
@@ -108,7 +109,7 @@
         part = max(self.part(dest) / SECOND, 1 / lasted, 1 / SECOND / self.relays)
         pace = rules.fall_multiple * part
         if dest.ramp_from is None or self._is_over(dest, now):
-            return start + round(calls / (pace * rules.start_capacity))
+            return start + round(calls / (TRIAL_SHARE * pace * rules.start_capacity))
         grows = pace * (1 - rules.start_capacity) / max(1, rules.ramp_time)
         first = pace * rules.start_capacity + grows * max(0, start - dest.ramp_from)
         if first >= pace:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,6 +10,12 @@
 from tests.sockets import Field, endpoint, listing, until
 
 
+LOOKED_AT = (
+    "cluster",
+    "destinations",
+)  # figures that are looked at now and then, not counted as things happen
+
+
 def read(metrics: Metrics) -> dict[str, int]:
     """The figures by name, with the class behind it."""
     figures = {}
@@ -35,6 +41,9 @@
             "current",
             "cluster_size",
             "cluster_unhealthy",
+            "destinations_suspect",
+            "destinations_out",
+            "destinations_recovering",
             "journal_failing",
         ),
         0,
@@ -52,7 +61,7 @@
     return {
         name: value - before[name]
         for name, value in read(metrics).items()
-        if value != before[name] and not name.startswith("cluster")
+        if value != before[name] and not name.startswith(LOOKED_AT)
     }
 
 
@@ -131,3 +140,20 @@
     relay.turn(relay.message())
     relay.try_all(io.Status.CONNECT_FAILED, 3)
     assert relay.pacer.cluster(relay.now + S) == (3, 2)
+
+
+# Guards against an outage that nobody on call can see in the figures.
+async def test_destination_whose_calls_fail_is_counted_as_suspect_then_out_then_recovering(
+    field: Field,
+) -> None:
+    client = await field.start()
+    metrics = field.relays[0].metrics
+    assert await client.enqueue("m1") == b"OK"
+    (await field.host.next_call()).answer(500)
+    await until(lambda: read(metrics)["destinations_suspect"] == 1)
+    (await field.host.next_call()).answer(500)
+    await until(lambda: read(metrics)["destinations_out"] == 1)
+    assert read(metrics)["destinations_suspect"] == 0
+    (await field.host.next_call()).answer(200)
+    await until(lambda: read(metrics)["destinations_recovering"] == 1)
+    assert read(metrics)["destinations_out"] == 0
