--- a/starlingwick/slow_start.py
+++ b/starlingwick/slow_start.py
@@ -13,10 +13,10 @@
 from starlingwick.listed_rate import call_interval
 from starlingwick.state import SECOND, Destination
 
-HEADROOM = 1.5  # times what was answered well: a destination takes that much more at most, for all we know
+HEADROOM = 1.4  # times what was answered well: a destination takes that much more at most, for all we know
 TRIAL_SHARE = 0.9  # of the budget at the start: who tries has not seen it come back
 UNSEEN_CALLS = 2.0  # in a ramp's time: what a relay that sees few calls may have missed by chance
-UNSEEN_SHARE = 1 / 8  # of an even part: what a relay with no traffic for it yet may send all the same
+UNSEEN_SHARE = 1 / 16  # of an even part: what a relay with no traffic for it yet may send all the same
 FAILING_SHARE = 1 / 3  # of the latest outcomes: with more than that failing, it has not come back yet
 
 
@@ -57,7 +57,11 @@
         """The list names another rate, calls a second. A destination that takes less from now on will not be
         served what it was before the trouble."""
         if 0 < rate < dest.listed and not dest.reported:
-            dest.served_before *= rate / dest.listed
+            left = rate / dest.listed
+            dest.served_before *= left
+            dest.served[:] = [
+                at for n, at in enumerate(dest.served) if math.floor((n + 1) * left) > math.floor(n * left)
+            ]
         dest.listed, dest.reported = rate, False
 
     def begin(self, dest: Destination, now: int) -> None:
