--- a/fleetlab/soak.py
+++ b/fleetlab/soak.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
+from itertools import repeat
 from pathlib import Path
 from signal import SIGHUP, SIGTERM, Signals
 from typing import Annotated
@@ -75,8 +76,8 @@
 class SoakRun(ScaleRun):
     """One seed's run. ``play`` it once."""
 
-    def __init__(self, scene: Scene) -> None:
-        super().__init__(scene.plan, Options(COMMAND, quiet=True))
+    def __init__(self, scene: Scene, judge_time: bool = False) -> None:
+        super().__init__(scene.plan, Options(COMMAND, judge_time=judge_time, quiet=True))
         self.scene = scene
         self.series = 0
         self.faults = 0
@@ -146,14 +147,15 @@
         return asyncio.get_running_loop().time() - self.begun
 
 
-def play(seed: int) -> tuple[int, bool, str]:
-    """The seed, whether no rule that is judged by counting was broken, and lines that say what was played."""
-    return asyncio.run(_play(seed))
+def play(seed: int, judge_time: bool = False) -> tuple[int, bool, str]:
+    """The seed, whether no rule was broken, and lines that say what was played. Rules that depend on a clock
+    are judged where ``judge_time`` is set."""
+    return asyncio.run(_play(seed, judge_time))
 
 
-async def _play(seed: int) -> tuple[int, bool, str]:
+async def _play(seed: int, judge_time: bool) -> tuple[int, bool, str]:
     scene = Scene.draw(seed)
-    run = SoakRun(scene)
+    run = SoakRun(scene, judge_time)
     result = await run.play()
     counts = run.ledger.counts
     lines = [
@@ -163,7 +165,7 @@
         f"timed {dict(result.timed)}"
     ]
     lines += [f"  {why}" for why in result.why_not]
-    if not result.passed:
+    if not result.passed or result.timed:
         lines += [f"  {violation}" for violation in result.violations]
     return seed, result.passed, "\n".join(lines)
 
@@ -172,11 +174,12 @@
     seeds: Annotated[int, typer.Option(min=1, help="how many seeds are played")] = 2,
     first: Annotated[int, typer.Option(min=0, help="the first seed")] = 1,
     jobs: Annotated[int, typer.Option(min=1, max=8, help="seeds played at the same time")] = 1,
+    judge_time: Annotated[bool, typer.Option(help="judge rules that depend on a clock as well")] = True,
 ) -> None:
-    """Play real relays under signals, crowds, clock steps and failing disks, and judge by counting."""
+    """Play real relays under signals, crowds, clock steps and failing disks, and judge them."""
     failed = []
     with ProcessPoolExecutor(jobs, max_tasks_per_child=1) as workers:
-        for seed, passed, lines in workers.map(play, range(first, first + seeds)):
+        for seed, passed, lines in workers.map(play, range(first, first + seeds), repeat(judge_time)):
             print(lines, flush=True)
             if not passed:
                 failed.append(seed)
