--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,6 +1,6 @@
 """Runs the test suite. The tests that KNOWN-RED.txt names are run and printed, and do not decide the verdict.
 
-Each line of the file reads ``TEST: `COMMAND`, seed SEED: SEEN, issue NUMBER`` with TEST as pytest names it.
+Each line of the file reads ``TEST: `COMMAND`, seed SEED: SEEN, issue NUMBER``, TEST as pytest names it.
 A line that cannot be read, or whose test does not exist, fails the run.
 """
 
@@ -14,7 +14,8 @@
 
 LIST = Path("KNOWN-RED.txt")
 LINE = re.compile(
-    r"(?P<test>tests/\w+\.py::[^\s:]+): `(?P<command>[^`]+)`, seed (?P<seed>[^:]+): (?P<seen>.+), issue (?P<issue>\d+)"
+    r"(?P<test>tests/\w+\.py::[^\s:]+): `(?P<command>[^`]+)`, seed (?P<seed>[^:]+): "
+    r"(?P<seen>.+), issue (?P<issue>\d+)"
 )
 PYTEST = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"]
 JUDGED_EXITS = (0, 1)  # of pytest: all passed, or some failed; anything else means that a test was not run
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -90,7 +90,9 @@
         self.seen = self.seen | {entry.ref for entry in taken} if self.foreign else set()
         if self.own is None and (own := self._create()) is not None:
             self.own = own
-            taken += own.entries.values()
+            del self.journals[own.path.name]
+            self._chain()
+            taken += self._add(own)  # a journal taken up before it may name the same messages
         self._tidy()
         return taken
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from garnetrelay import journal
+from garnetrelay import journal, ownership
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.ownership import Ownership
 
@@ -85,6 +85,32 @@
     assert refs(opened(tmp_path)) == set()
 
 
+# Guards against a message that is recovered twice, and so may be sent twice.
+def test_own_journal_that_opens_late_behind_a_hand_over_cut_short_leaves_one_message(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for name in ("journal", "journal.1"):
+        journal = Journal(tmp_path, DISK, name)
+        assert journal.taken(entry("a"))
+        journal.close()
+    failing = iter(
+        [True] * 4
+    )  # no descriptor is left at the start, nor for the first of the journals after it
+
+    def open_late(folder: Path, most: int, name: str = "journal", create: bool = True) -> Journal:
+        if next(failing, False):
+            raise OSError(errno.EMFILE, "Too many open files")
+        return Journal(folder, most, name, create)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(ownership, "Journal", open_late)
+        late = opened(tmp_path)
+    assert late.own is not None and refs(late) == {"a"}
+    late.ended("a", None)
+    late.close()
+    assert refs(opened(tmp_path)) == set()
+
+
 def test_rewritten_journal_stays_its_holders(tmp_path: Path) -> None:
     journal = Journal(tmp_path, DISK)
     while journal.size < 300_000:
