--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from garnetrelay import journal, ownership
+from garnetrelay import journal
+from garnetrelay import ownership as ownership_module
 from garnetrelay.journal import Entry, Journal
 from garnetrelay.ownership import Ownership
 
@@ -103,7 +104,7 @@
         return Journal(folder, most, name, create)
 
     with monkeypatch.context() as patch:
-        patch.setattr(ownership, "Journal", open_late)
+        patch.setattr(ownership_module, "Journal", open_late)
         late = opened(tmp_path)
     assert late.own is not None and refs(late) == {"a"}
     late.ended("a", None)
