--- a/tests/partner.py
+++ b/tests/partner.py
@@ -97,6 +97,8 @@
                         ends, status = outage.down_at, io.Status.RESET
                 case "silent":
                     ends, status = stop_at, io.Status.TIMEOUT
+                    if at >= outage.down_at and self.random.random() < 0.5:
+                        ends, status = min(at + S, stop_at), io.Status.CONNECT_FAILED
                 case "error":
                     status = io.Status.ERROR
                 case "full" | "shut" | "sometimes told":
