Let no reported limit end a turn by the log line of a destination's health

Effect: where a destination had reported a limit beyond any (X-Server-Load: x1=1e300, a spoilt answer) and a call failed there, the turn ended in ZeroDivisionError. Found by reading the change again. The test failed before (ZeroDivisionError) and passes now.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -744,7 +744,7 @@
         state = state_of(dest, self.slow_start, self.now)
         if state is before:
             return
-        interval = self.slow_start.time_for(dest, 1.0, self.now, self.now) - self.now
+        interval = max(1, self.slow_start.time_for(dest, 1.0, self.now, self.now) - self.now)
         self.log(
             f"{CHANGED_TO[state]} dest={dest.number} host={host.name} was={before.value} reason={reason}"
             f" part={self.slow_start.part(dest):.3f}/s budget={SECOND / interval:.3f}/s"
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -330,3 +330,14 @@
     # The rest, sent before, is answered well: nothing but the ceiling holds back the next.
     relay.turn(*[relay.verdict(send.call, io.Status.OK, cost=800 * MS) for send in calls[3:]], after=10 * MS)
     assert dest.refused_from is None and len(relay.sends()) == 1
+
+
+# Guards against a turn that ends in an error where a spoilt answer reports a limit beyond any.
+def test_outage_of_a_destination_that_reports_a_limit_beyond_any_ends_no_turn() -> None:
+    relay = Relay(entry("a"))
+    relay.turn(relay.message())
+    relay.turn(relay.verdict("m1", io.Status.ERROR, report=io.Report(0.5, 1e300)), after=100 * MS)
+    for _ in range(40):
+        relay.turn(*[relay.verdict(send.call, io.Status.ERROR) for send in relay.sends()], after=S)
+    relay.turn(relay.message(), after=S)
+    assert relay.pacer.routes[1][0].bad_from is not None
