Ask once a turn for what is to outlast the process, and say slow start's end more plainly

Read again: each place that found trouble marked it as changed beside size_up, each turn walked its actions once more for records, and may_begin had been reshaped for nothing.

--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -589,9 +589,6 @@
         self._admit({a.call: a for a in actions if isinstance(a, io.Refuse | io.Fail)})
         for action in actions:
             self._carry_out(action)
-        changed = [action.record for action in actions if isinstance(action, io.KeepHealth)]
-        if changed and not self.passed_on:
-            self.health_store.keep(changed)
         if self.journal.failing and self.journal_retry is None:
             self._retry_journal_later()
 
@@ -637,6 +634,9 @@
                 self.hosts.close_idle(host)
             case io.Released(dest):
                 self._release(dest)
+            case io.KeepHealth(records):
+                if not self.passed_on:  # the process that sends now keeps what it sees
+                    self.health_store.keep(records)
             case io.Wake(after, token):
                 self._set_alarm(after, token)
             case io.Subscribe():
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -571,7 +571,8 @@
 
     def keep_health(self) -> None:
         """Ask for what has changed in this turn to outlast the process."""
-        self.actions += [KeepHealth(record_of(dest)) for dest in self.changed if dest.hosts]
+        if records := tuple(record_of(dest) for dest in self.changed if dest.hosts):
+            self.actions.append(KeepHealth(records))
         self.changed.clear()
 
     def health_counts(self) -> Counter[HealthState]:
@@ -663,17 +664,15 @@
         # A limit says that it is spent. Told to wait longer than one would make, the destination is shut and
         # says when it opens; untold, refusals that last with room left mean the same.
         limit_wait = longest_limit_wait(dest)
-        before = state_of(dest, self.slow_start, self.now)
         if wait > limit_wait:
+            before = state_of(dest, self.slow_start, self.now)
             self.size_up(dest, dest.refused_from)
-            self.changed[dest] = None
             dest.bad_at = dest.ramp_from = self.now + wait
             dest.warm_at = dest.ramp_from + self.settings.rules.ramp_time
             dest.next_at = self.slow_start.time_for(dest, self.random.random(), dest.ramp_from, self.now)
             self.log_health(dest, call.host, before, "told to wait")
         if not wait and (left is None or left > HALF_LEFT):  # shut, perhaps: see SlowStart.may_begin
             self.size_up(dest, dest.refused_from)
-            self.changed[dest] = None
             dest.bad_at = self.now
         rare = self.call_interval(dest) > CUT_SPAN  # two in a row are enough then
         lasts = 0 if rare else limit_wait - wait
@@ -702,7 +701,8 @@
         dest.rest_until = self.now + round(dest.rest * self.random.uniform(0.5, 1.5))
 
     def size_up(self, dest: Destination, since: int) -> None:
-        """At the first sign of trouble: what was answered well until now."""
+        """Trouble: at the first sign of it, what was answered well until now."""
+        self.changed[dest] = None
         if dest.bad_from is None:
             dest.bad_from = since
             served = self.rate(dest.served, self.settings.rules.ramp_time)
@@ -727,7 +727,6 @@
             dest.bad_from = None
         elif not good:
             self.size_up(dest, self.now)
-            self.changed[dest] = None
             dest.bad_at = self.now
             self.mark(dest.failures, self.settings.rules.ramp_time)
             if dest.out:
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -440,9 +440,9 @@
 
 @dataclass(frozen=True, slots=True)
 class KeepHealth:
-    """Let this outlast the process: the next life is bound by what this one has seen."""
+    """Let these outlast the process: the next life is bound by what this one has seen."""
 
-    record: HealthRecord
+    records: tuple[HealthRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/starlingwick/slow_start.py
+++ b/starlingwick/slow_start.py
@@ -35,19 +35,24 @@
         """Whether calls are spaced by the budget: in slow start, and behind it, for as long again at most,
         while more waits than the warm destination may get from this relay within ``fall``. All relays would
         let go of that at once, and some take it for warm before it is."""
+        if self.is_on(dest, now):
+            return True
         if dest.ramp_from is None or self._is_over(dest, now):
             return False
-        at_once = 1 + self.rules.fall_multiple * self.part(dest) * self.rules.fall / SECOND
-        return now < dest.warm_at or waiting > at_once
+        return waiting > 1 + self.rules.fall_multiple * self.part(dest) * self.rules.fall / SECOND
 
     def may_begin(self, dest: Destination, now: int) -> bool:
         """Whether an outage may lie behind this good answer: trouble, and no other good answer for ``fall``
         before. A failure since the last one will do; of refusals, which a limit makes too, where this relay
         sees so little that it sees no more of an outage than one bad outcome."""
-        if dest.bad_from is None or dest.bad_at <= (dest.ramp_from or 0) or self.is_on(dest, now):
-            return False
         answered = dest.served[-2] if len(dest.served) > 1 else 0
-        return now - answered > self.rules.fall and (dest.failed_at > answered or self.sees_little(dest))
+        return (
+            dest.bad_from is not None
+            and dest.bad_at > (dest.ramp_from or 0)
+            and not self.is_on(dest, now)
+            and now - answered > self.rules.fall
+            and (dest.failed_at > answered or self.sees_little(dest))
+        )
 
     def sees_little(self, dest: Destination) -> bool:
         """Whether this relay's part of what a destination takes is under a call in ``fall``, or unknown."""
@@ -122,4 +127,5 @@
 
     def _is_over(self, dest: Destination, now: int) -> bool:
         """Whether the latest slow start paces nothing any more: long past, or behind it there was trouble."""
-        return now >= dest.warm_at + self.rules.ramp_time or now >= dest.warm_at < dest.bad_at
+        troubled_since = dest.bad_at > dest.warm_at
+        return now >= dest.warm_at + (0 if troubled_since else self.rules.ramp_time)
