--- a/garnetrelay/health_store.py
+++ b/garnetrelay/health_store.py
@@ -64,7 +64,7 @@
         damaged = 0
         for line in lines[1:]:
             try:
-                record = _record(_checked(line), now if same_boot else None, now)
+                record = _record(_checked(line), same_boot, now)
             except ValueError:
                 damaged += 1
                 continue
@@ -73,16 +73,13 @@
         if damaged:
             log.warning("health on the disk: %d of %d records can't be read", damaged, len(lines) - 1)
         left = [record for record in records.values() if record.bad_from is not None]
-        self.unwritten = {(record.dest, record.host): _line(list(astuple(record))) for record in left}
-        self._take_in()
-        self.unwritten.clear()
+        self._take_in({(record.dest, record.host): _packed(record) for record in left})
         return left
 
     def keep(self, records: Iterable[HealthRecord]) -> None:
         """Let these outlast the process."""
         for record in records:
-            line = _line(list(astuple(record))) if record.bad_from is not None else b""
-            self.unwritten[record.dest, record.host] = line
+            self.unwritten[record.dest, record.host] = b"" if record.bad_from is None else _packed(record)
         self.flush()
 
     def flush(self) -> None:
@@ -96,7 +93,7 @@
             else:
                 write_all(self.file, added)
                 self.size += len(added)
-                self._take_in()
+                self._take_in(self.unwritten)
         except OSError as error:
             self._failed(error)
         else:
@@ -108,9 +105,9 @@
             close_quietly(self.file)
             self.file = None
 
-    def _take_in(self) -> None:
-        """The unwritten records are among the latest; what passes the bound is dropped, oldest first."""
-        for key, line in self.unwritten.items():
+    def _take_in(self, lines: dict[Key, bytes]) -> None:
+        """These are among the latest records; what passes the bound is dropped, oldest first."""
+        for key, line in lines.items():
             self.live -= len(self.lines.pop(key, b""))
             if line:
                 self.lines[key] = line
@@ -120,7 +117,7 @@
 
     def _write_anew(self) -> None:
         """All of the latest records, and no more, into a file that takes the old one's place."""
-        self._take_in()
+        self._take_in(self.unwritten)
         data = _line([FORMAT, boot_id()]) + b"".join(self.lines.values())
         new = os.open(self.spare, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
         try:
@@ -146,6 +143,10 @@
     return b"%08x %s\n" % (zlib.crc32(payload), payload)
 
 
+def _packed(record: HealthRecord) -> bytes:
+    return _line(list(astuple(record)))
+
+
 def _checked(line: bytes) -> list[Any]:
     """The line's values; ValueError where it is damaged."""
     checksum, _, payload = line.partition(b" ")
@@ -164,9 +165,9 @@
     return bool(header[1]) and header[1] == boot_id()
 
 
-def _record(values: list[Any], clock: int | None, now: int) -> HealthRecord:
-    """A record from its values; ValueError where they cannot be one. Without the ``clock`` of its times the
-    trouble counts as seen just now; so does one that lies further ahead than any wait."""
+def _record(values: list[Any], same_boot: bool, now: int) -> HealthRecord:
+    """A record from its values; ValueError where they cannot be one. Where its times are not of this boot's
+    clock the trouble counts as seen just now; so does one that lies further ahead than any wait."""
     if len(values) == 2 and isinstance(values[0], int) and isinstance(values[1], str):
         return HealthRecord(values[0], values[1], 0.0, False, None, 0, 0, None, 0, False, 0.0)
     if len(values) != COUNT:
@@ -188,7 +189,7 @@
     ):
         raise ValueError("values of another kind")
     if (
-        clock is None
+        not same_boot
         or record.bad_at > now + FURTHEST_AHEAD
         or (record.ramp_from or 0) > now + FURTHEST_AHEAD
     ):
