--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -25,6 +25,19 @@
 __all__ = ["HANGING", "OUTAGES", "SOMETIMES_TOLD", "Play"]
 
 
+@dataclass(frozen=True, slots=True)
+class Kill:
+    """The process ends without warning."""
+
+
+@dataclass(frozen=True, slots=True)
+class Restart:
+    """The next process begins; one that still runs ends with it."""
+
+
+Happening = io.Event | Kill | Restart
+
+
 @dataclass
 class Play:
     """One destination of ``capacity`` calls a second, and its outage. ``load`` is a share of the capacity."""
@@ -45,9 +58,7 @@
     answered: float = 0.0  # share of the calls that is answered well in the outage
     again: float | None = None  # seconds after the return until it goes down once more, for half as long
     kind: int = 0  # 0 plain, 1 routes apart, 2 four messages a call
-    halved: bool = (
-        False  # in the outage the list says half the rate from now on, and the destination takes it
-    )
+    halved: bool = False  # in the outage list and destination go down to half the rate, for good
     limited: bool = False  # it refuses what passes its present capacity
     rules: dict[str, Any] = field(default_factory=dict)
 
@@ -59,7 +70,7 @@
         self.hosts = ("a", "b") if self.kind == 1 else ("a",)
         self.fleet = [self.start() for _ in range(self.relays)]
         self.told: list[set[int]] = [set() for _ in self.fleet]  # of which outages, in any life
-        self.queue: list[tuple[int, int, int, int, io.Event]] = []
+        self.queue: list[tuple[int, int, int, int, Happening]] = []
         self.number = count()
         self.lives = [0] * self.relays
         self.dead: set[int] = set()
@@ -82,7 +93,7 @@
         return Partner(capacity, self.mean, self.outages(), self.rules_, self.random, self.limited)
 
     def start(self, at: int = 1000 * S) -> Relay:
-        relay = Relay(
+        return Relay(
             *self.entries(at),
             seed=self.random.randrange(1 << 60),
             at=at,
@@ -91,7 +102,6 @@
             listed_rates=self.listed is not None,
             rules=self.rules,
         )
-        return relay
 
     def entries(self, at: int) -> list[io.HostEntry]:
         rate = (self.listed or 1.0) / len(self.hosts)
@@ -129,7 +139,7 @@
     def restart_all(self, parts: list[float]) -> None:
         for relay, part in enumerate(parts):
             at = self.random.randrange(self.down_at, self.back_at)
-            self.push(at, relay, io.Elsewhere(0))
+            self.push(at, relay, Restart())
             each = sum(parts) / part / self.load / self.capacity
             taken = self.later(each)
             while taken < self.owed * S:
@@ -141,26 +151,21 @@
         for relay in range(self.relays):
             if self.random.random() < KILLED_SHARE:
                 at = self.back_at + self.random.randrange(-KILLED_WITHIN, KILLED_WITHIN)
-                self.push(at, relay, io.Elsewhere(1))
-                self.push(at + RESTART_AFTER, relay, io.Elsewhere(0))
+                self.push(at, relay, Kill())
+                self.push(at + RESTART_AFTER, relay, Restart())
 
-    def turn(self, at: int, number: int, event: io.Event) -> None:
-        match event:
-            case io.Elsewhere(1):
+    def turn(self, at: int, number: int, happening: Happening) -> None:
+        match happening:
+            case Kill():
                 self.lives[number] += 1
                 self.dead.add(number)
-                return
-            case io.Elsewhere(0):
+            case Restart():
                 self.begin_life(at, number)
-                return
-        if number in self.dead:  # its clients go to another relay
-            if isinstance(event, io.Arrived) and (others := set(range(self.relays)) - self.dead):
-                number = self.random.choice(sorted(others))
-                relay = self.fleet[number]
-                event = relay.message(self.klass)
-            else:
-                return
-        self.feed(at, number, event)
+            case event if number not in self.dead:
+                self.feed(at, number, event)
+            case io.Arrived() if others := set(range(self.relays)) - self.dead:
+                other = self.random.choice(sorted(others))  # the clients of a dead one go to another
+                self.feed(at, other, self.fleet[other].message(self.klass))
 
     def feed(self, at: int, number: int, *events: io.Event) -> None:
         relay = self.fleet[number]
@@ -242,7 +247,7 @@
     def later(self, mean: float) -> int:
         return max(MS, round(self.random.expovariate(1 / mean) * S))
 
-    def push(self, at: int, relay: int, event: io.Event, life: int | None = None) -> None:
+    def push(self, at: int, relay: int, event: Happening, life: int | None = None) -> None:
         if life is None:
             life = self.lives[relay] if isinstance(event, io.Alarm) else -1
         heapq.heappush(self.queue, (at, next(self.number), relay, life, event))
--- a/tests/partner.py
+++ b/tests/partner.py
@@ -10,7 +10,7 @@
 from starlingwick import interface as io
 from tests.helpers import MS, S
 
-REFUSED, SILENT, ERROR, FULL, SHUT = "refused", "silent", "error", "full", "shut"
+SHUT = "shut"  # refused, and told until when
 SOMETIMES_TOLD = "sometimes told"  # shut, and three refusals in ten tell until when
 HUNG, RESET = "hung", "reset"  # calls hang until they are given up; those of RESET break at the return
 MESSAGE_WEIGHT = 0.1  # of each further message in a call: "a little more than one with a single message"
@@ -37,17 +37,6 @@
     weight: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Excess:
-    """By how much the span of ``fall`` that ends with an arrival passes what the page allows."""
-
-    calls: float
-    arrival: Arrival
-    count: float
-    budget: float
-    told: float  # share of the span's arrivals that came from relays told of the outage
-
-
 def allowed(budget: float) -> float:
     """What may arrive where the settings allow ``budget`` calls (the page on slow start)."""
     if budget < SMALL_BUDGET:
@@ -168,18 +157,12 @@
             found.append((arrival, weight, budget, sum(one.weight for one in span if one.told) / weight))
         return found
 
-    def falls(self) -> list[Excess]:
-        """The first fall behind each return by the page's bound, where there is one."""
-        falls = []
-        for number in range(len(self.outages)):
-            over = (
-                Excess(weight - allowed(budget), arrival, weight, budget, told)
-                for arrival, weight, budget, told in self.spans(number)
-                if weight > allowed(budget)
-            )
-            falls += [first] if (first := next(over, None)) is not None else []
-        return falls
-
     def pushed_over(self) -> bool:
-        """Whether the rule is broken: over two thirds of a first fall came from relays that had been told."""
-        return any(fall.told > 2 / 3 for fall in self.falls())
+        """Whether the rule is broken behind some return: its first fall by the page's bound, over two thirds
+        of it from relays that had been told."""
+        return any(self._told_at_first_fall(number) > 2 / 3 for number in range(len(self.outages)))
+
+    def _told_at_first_fall(self, number: int) -> float:
+        """The share from relays that were told in the first fall behind that outage; 0 where there is none."""
+        falls = (told for _, weight, budget, told in self.spans(number) if weight > allowed(budget))
+        return next(falls, 0.0)
