--- a/tests/partner.py
+++ b/tests/partner.py
@@ -163,6 +163,6 @@
         return any(self._told_at_first_fall(number) > 2 / 3 for number in range(len(self.outages)))
 
     def _told_at_first_fall(self, number: int) -> float:
-        """The share from relays that were told in the first fall behind that outage; 0 where there is none."""
+        """The share from relays told of it in the first fall behind that outage; 0 where there is none."""
         falls = (told for _, weight, budget, told in self.spans(number) if weight > allowed(budget))
         return next(falls, 0.0)
