--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -6,23 +6,22 @@
 Records of finished messages are dropped by a rewrite: the live entries go to a new file beside the old one,
 which is then renamed over it. Both files together stay within the disk limit.
 
-A record is a JSON object, followed by a line feed and the message's body if there is one. Record kinds:
+``journal_records`` has the framing of the records. Record kinds:
 ``taken`` (a message was accepted; after a rewrite, its full state), ``try`` (the first byte of an attempt is
 about to be sent), ``outcome``, ``ended`` and ``told`` (its notice was acknowledged). ``clock`` names the
 boot and the offset for the records after it: a recorded time is that boot's monotonic time plus the offset,
 which makes it close to wall-clock time. Records without a ``clock`` record before them come from
-earlier versions, whose times are wall-clock times.
+earlier versions, whose times are wall-clock times. A ``told`` record of no message has no effect: it carries
+the synchronization marker, or tests that the disk works.
 """
 
 from __future__ import annotations
 
 import fcntl
-import json
 import logging
 import os
-import struct
+import secrets
 import time
-import zlib
 from collections import deque
 from dataclasses import dataclass, replace
 from itertools import chain
@@ -31,17 +30,16 @@
 
 from garnetrelay.clock import boot_id, monotonic_ms, wall_offset_ms
 from garnetrelay.files import close_quietly, read_all, remove_quietly, write_all
+from garnetrelay.journal_records import DamagedRange, Record, RecordReader, encode_marker, encode_record
 
 log = logging.getLogger(__name__)
 
-RECORD_HEADER = struct.Struct(">2sII")  # magic, length of the payload, CRC-32 of the payload
-MAGIC = b"\xa7R"  # marks where reading can resume after a damaged record
-MAX_PAYLOAD = 1 << 20  # bytes
 BLOCK_SIZE = 512  # bytes; a file occupies whole blocks
 # bytes reserved for a message: its full record apart from names and body, and some later records about it
 RECORD_OVERHEAD = 1024
 MIN_REWRITE_BYTES = 256 * 1024  # a smaller file is not rewritten only to drop dead records
 REWRITE_RETRY_DELAY = 1.0  # seconds until an optional rewrite is tried again after it failed
+MARKER_BYTES = 16  # of randomness in a synchronization marker
 
 
 @dataclass(slots=True)
@@ -93,6 +91,8 @@
         self.offset = wall_offset_ms()  # from times in memory to times in the file
         self.is_current_boot = False  # the times in the file are of this boot
         self.next_rewrite_at = 0.0  # when an optional rewrite may be tried again
+        self.marker = secrets.token_hex(MARKER_BYTES)  # precedes each message's record in the file
+        self.is_marked = True  # no message's record in the file lacks a marker
         self.file = _open_locked(self.path, os.O_CREAT if create else 0)
         remove_quietly(self.temporary_path)  # left by a rewrite that a kill interrupted
         try:
@@ -124,6 +124,8 @@
 
     def accept(self, entry: JournalEntry) -> bool:
         """Record an accepted message. Returns False if that fails: the message must not be accepted then."""
+        if self.marker.encode() in entry.body and not self._replace_marker(entry.body):
+            return False
         if not self._append(self._full_record(entry)):
             return False
         self._add(entry)
@@ -133,7 +135,7 @@
         """Record the start of an attempt. Returns False if that fails: its first byte must not be sent
         then."""
         record = {"t": "try", "ref": message_id, "at": now_ms + self.offset, "zone": zone}
-        if message_id not in self.entries or not self._append(_pack(record, b"")):
+        if message_id not in self.entries or not self._append(encode_record(record)):
             return False
         self._apply(record)
         return True
@@ -167,7 +169,7 @@
         Returns whether it is on record."""
         if record["ref"] not in self.entries:
             return False
-        data = _pack(record, b"")
+        data = encode_record(record)
         written = self._append(data)
         if not written:
             self.pending.append(data)
@@ -209,7 +211,7 @@
     def _clock_record(self) -> bytes:
         """Return the record that defines how to read the times after it."""
         record = {"t": "clock", "ref": "", "boot": self.boot, "offset": self.offset, "at": monotonic_ms()}
-        return _pack(record, b"")
+        return encode_record(record)
 
     def _apply_clock(self, record: dict[str, Any]) -> None:
         """Read the following times as this boot's, or, if another boot wrote them, as wall-clock times: they
@@ -229,10 +231,22 @@
                     entry.uncertain = True
 
     def _full_record(self, entry: JournalEntry) -> bytes:
-        """Return the record of a message's full state."""
+        """Return the record of a message's full state, behind one of the marker."""
         shifted = self._shift_times(entry, self.offset)
         fields = {name: getattr(shifted, name) for name in JournalEntry.__slots__ if name != "body"}
-        return _pack({"t": "taken", **fields}, entry.body)
+        return encode_marker(self.marker) + encode_record({"t": "taken", **fields}, entry.body)
+
+    def _replace_marker(self, body: bytes) -> bool:
+        """Rewrite the file with a marker that neither ``body`` nor a body in the file contains. Returns
+        whether that succeeded."""
+        previous = self.marker
+        while self.marker.encode() in body or any(
+            self.marker.encode() in entry.body for entry in self.entries.values()
+        ):
+            self.marker = secrets.token_hex(MARKER_BYTES)
+        if not self._rewrite():
+            self.marker = previous
+        return self.marker != previous
 
     @staticmethod
     def _shift_times(entry: JournalEntry, offset: int) -> JournalEntry:
@@ -256,10 +270,9 @@
         if self.size + needed > max(self.max_bytes - self.live_bytes - RECORD_OVERHEAD, 0):
             self._rewrite()
         elif (
-            self.size > max(MIN_REWRITE_BYTES, 3 * self.live_bytes)
-            and time.monotonic() >= self.next_rewrite_at
-        ):
-            # optional: drops dead records early
+            self.size > max(MIN_REWRITE_BYTES, 3 * self.live_bytes) or not self.is_marked
+        ) and time.monotonic() >= self.next_rewrite_at:
+            # optional: drops dead records early, or adds the markers that an earlier version did not write
             if not self._rewrite():
                 self.next_rewrite_at = time.monotonic() + REWRITE_RETRY_DELAY
 
@@ -330,7 +343,7 @@
             remove_quietly(self.temporary_path)
             return self._report_rewrite_failure(error)
         close_quietly(self.file)
-        self.file, self.size, self.has_torn_tail = new_file, size, False
+        self.file, self.size, self.has_torn_tail, self.is_marked = new_file, size, False, True
         self.pending.clear()  # the rewritten entries include the effect of all pending records
         return True
 
@@ -342,51 +355,50 @@
     def _load(self) -> int:
         """Read the file, skip damaged records and truncate a torn tail. Returns the remaining size."""
         data = read_all(self.file)
-        position = end = 0
-        while position < len(data):
-            payload = _payload_at(data, position)
-            if payload is None:
-                following = _find_next_record(data, position + 1)
-                if following is None:
-                    break
-                log.warning("journal: %d damaged bytes skipped at offset %d", following - position, position)
-                for entry in self.entries.values():
-                    entry.uncertain = True
-                position = following
-                continue
-            self._replay(payload, position)
-            position += RECORD_HEADER.size + len(payload)
-            end = position
+        reader = RecordReader()
+        end = 0
+        for item in reader.read(data):
+            end = item.end
+            if isinstance(item, DamagedRange):
+                log.warning(
+                    "journal: %d damaged bytes skipped at offset %d", item.end - item.start, item.start
+                )
+                self._mark_all_uncertain()
+            else:
+                self._replay(item)
+        if reader.marker is None:
+            self.is_marked = not self.entries
+        else:
+            self.marker = reader.marker
         if end < len(data):
             log.warning("journal: torn tail of %d bytes truncated", len(data) - end)
             self.size = end
             self._truncate_torn_tail()
         return end
 
-    def _replay(self, payload: bytes, position: int) -> None:
-        fields, _, body = payload.partition(b"\n")
+    def _replay(self, record: Record) -> None:
         try:
-            record = json.loads(fields)
-            match record["t"]:
+            fields = record.decode()
+            match fields["t"]:
                 case "taken":
-                    del record["t"]
-                    self._add(self._shift_times(JournalEntry(body=body, **record), -self.offset))
+                    del fields["t"]
+                    self._add(self._shift_times(JournalEntry(body=record.body, **fields), -self.offset))
                 case "clock":
-                    self._apply_clock(record)
+                    self._apply_clock(fields)
                 case _:
-                    self._apply(record)
+                    self._apply(fields)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log.warning("journal: record at offset %d cannot be read: %s", position, error)
-            for entry in self.entries.values():
-                entry.uncertain = True
+            log.warning("journal: record at offset %d cannot be read: %s", record.start, error)
+            self._mark_all_uncertain()
 
+    def _mark_all_uncertain(self) -> None:
+        """Mark the entries read so far: a record of an attempt may be missing."""
+        for entry in self.entries.values():
+            entry.uncertain = True
 
-def _pack(record: dict[str, Any], body: bytes) -> bytes:
-    payload = json.dumps(record, separators=(",", ":")).encode() + b"\n" + body
-    return RECORD_HEADER.pack(MAGIC, len(payload), zlib.crc32(payload)) + payload
 
-
-NO_OP_RECORD = _pack({"t": "told", "ref": ""}, b"")  # changes no entry; its write shows that the disk works
+# changes no entry; its write shows that the disk works
+NO_OP_RECORD = encode_record({"t": "told", "ref": ""})
 
 
 def record_weight(message_id: str, key: str | None, body: bytes) -> int:
@@ -406,21 +418,3 @@
             close_quietly(file)
             raise
         close_quietly(file)  # a rewrite replaced the file between the open and the lock
-
-
-def _payload_at(data: bytes, position: int) -> bytes | None:
-    if position + RECORD_HEADER.size > len(data):
-        return None
-    magic, length, checksum = RECORD_HEADER.unpack_from(data, position)
-    payload = data[position + RECORD_HEADER.size : position + RECORD_HEADER.size + length]
-    if magic != MAGIC or length > MAX_PAYLOAD or len(payload) < length or zlib.crc32(payload) != checksum:
-        return None
-    return payload
-
-
-def _find_next_record(data: bytes, position: int) -> int | None:
-    while (position := data.find(MAGIC, position)) >= 0:
-        if _payload_at(data, position) is not None:
-            return position
-        position += 1
-    return None
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -13,6 +13,7 @@
 from garnetrelay import journal as journal_module
 from garnetrelay.clock import boot_id, monotonic_ms, wall_offset_ms
 from garnetrelay.journal import JournalEntry, Journal, record_weight
+from garnetrelay.journal_records import encode_record
 
 DISK = 3_000_000
 
@@ -239,8 +240,8 @@
         }
         for ref in ("untried", "ran")
     ]
-    data = b"".join(journal_module._pack(record, b"body") for record in records)
-    data += journal_module._pack({"t": "try", "ref": "ran", "at": now, "zone": "north"}, b"")
+    data = b"".join(encode_record(record, b"body") for record in records)
+    data += encode_record({"t": "try", "ref": "ran", "at": now, "zone": "north"})
     (tmp_path / "journal").write_bytes(data)
     entries = Journal(tmp_path, DISK).entries
     assert {ref: entry.uncertain for ref, entry in entries.items()} == {"untried": False, "ran": True}
