Look for a message's id in the records of the other process, not in its bytes

Change: JournalFollower reads the records that the other process appends, from where it was, and keeps their ids, those of finished messages included. A rewritten file is read anew.

--- a/garnetrelay/files.py
+++ b/garnetrelay/files.py
@@ -19,10 +19,9 @@
         view = view[os.write(file, view) :]
 
 
-def read_all(file: int) -> bytes:
-    """Return the whole contents of the file. Raises OSError if a part cannot be read."""
+def read_all(file: int, offset: int = 0) -> bytes:
+    """Return the contents of the file from ``offset`` on. Raises OSError if a part cannot be read."""
     chunks = []
-    offset = 0
     while chunk := os.pread(file, max(1, os.fstat(file).st_size - offset), offset):
         chunks.append(chunk)
         offset += len(chunk)
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import os
 import re
@@ -16,6 +15,7 @@
 from pathlib import Path
 
 from garnetrelay.journal import JournalEntry, Journal
+from garnetrelay.journal_follower import JournalFollower
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +35,7 @@
         self.max_bytes = (disk_bytes - disk_bytes // HANDOVER_DISK_DIVISOR) // 2 if shared else disk_bytes
         self.journals: dict[str, Journal] = {}
         self.held_by_others: list[Path] = []  # locked by another live process at the last check
+        self.followers: dict[Path, JournalFollower] = {}  # of the journals that others hold
         self.unreadable: set[str] = set()  # could not be opened or read at the last check
         # ids acquired while another process is alive: a second journal may contain the same messages
         self.acquired_ids: set[str] = set()
@@ -47,6 +48,7 @@
         """Close all journals and release their locks."""
         for journal in self.journals.values():
             journal.close()
+        self._set_held_by_others([])
 
     @property
     def may_have_more(self) -> bool:
@@ -99,7 +101,7 @@
                 self._report_unreadable(name, error, unreadable)
             else:
                 acquired += self._add_journal(journal)
-        self.held_by_others = locked_journals
+        self._set_held_by_others(locked_journals)
         self.acquired_ids = (
             self.acquired_ids | {entry.ref for entry in acquired} if self.held_by_others else set()
         )
@@ -120,8 +122,18 @@
 
     def is_held_elsewhere(self, message_id: str) -> bool:
         """Return whether a journal of another live process has any record of a message, even of its end."""
-        pattern = b'"ref":' + json.dumps(message_id).encode()
-        return any(pattern in _read_file(path) for path in self.held_by_others)
+        return any(self._follower(path).knows(message_id) for path in self.held_by_others)
+
+    def _follower(self, path: Path) -> JournalFollower:
+        if path not in self.followers:
+            self.followers[path] = JournalFollower(path)
+        return self.followers[path]
+
+    def _set_held_by_others(self, paths: list[Path]) -> None:
+        """Set the journals that others hold, and stop following those that were released."""
+        self.held_by_others = paths
+        for path in self.followers.keys() - set(paths):
+            self.followers.pop(path).close()
 
     def hand_over(self, message_ids: Iterable[str]) -> list[str]:
         """Move messages to a separate journal and release it. Return the ids of the moved messages."""
@@ -263,13 +275,6 @@
         log.error("journal: the folder cannot be read: %s", error.strerror)
 
 
-def _read_file(path: Path) -> bytes:
-    try:
-        return path.read_bytes()
-    except OSError:
-        return b""
-
-
 def _file_size(path: Path) -> int:
     try:
         return path.stat().st_size
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import shutil
 from pathlib import Path
 
@@ -11,6 +12,7 @@
 from garnetrelay import journal
 from garnetrelay import ownership as ownership_module
 from garnetrelay.journal import JournalEntry, Journal
+from garnetrelay.journal_records import encode_record
 from garnetrelay.ownership import Ownership
 
 DISK = 1_000_000
@@ -181,3 +183,33 @@
     assert after.acquire_free_journals() == [] and not after.held_by_others  # and no other process holds it
     monkeypatch.setattr(journal, "_open_locked", open_locked)
     assert [one.ref for one in after.acquire_free_journals()] == ["a"]
+
+
+# Guards against a message that is accepted and forgotten because a body in another journal names it.
+@pytest.mark.parametrize("rewritten", [False, True])
+def test_id_named_in_a_body_of_another_journal_is_not_held_there(tmp_path: Path, rewritten: bool) -> None:
+    first, second = open_ownership(tmp_path), open_ownership(tmp_path)
+    assert first.own_journal is not None
+    forged = encode_record({"t": "taken", "ref": "in a frame"})
+    body = b'[{"ref":"named"},{"t":"ended","ref":"in json"}]\n' + forged + b'{"ref":"last"}'
+    assert first.accept(JournalEntry("real", "keyed", 3, "k", 1_900_000_000_000, body))
+    assert first.accept(entry("finished"))
+    first.record_finish("finished", None)
+    assert second.is_held_elsewhere("real") and second.is_held_elsewhere("finished")
+    if rewritten:
+        assert first.own_journal._rewrite() and first.accept(entry("later"))
+        assert second.is_held_elsewhere("later") and second.is_held_elsewhere("finished")
+    assert not any(second.is_held_elsewhere(ref) for ref in ("named", "in a frame", "in json", "last"))
+
+
+# Guards against a message that both processes accept because its record was not complete at the first look.
+def test_record_that_another_process_completes_later_is_seen(tmp_path: Path) -> None:
+    first, second = open_ownership(tmp_path), open_ownership(tmp_path)
+    assert first.own_journal is not None and first.accept(entry("a"))
+    path = first.own_journal.path
+    assert first.accept(entry("b", 5000))
+    data = path.read_bytes()
+    os.truncate(path, len(data) - 3000)
+    assert second.is_held_elsewhere("a") and not second.is_held_elsewhere("b")
+    path.write_bytes(data)
+    assert second.is_held_elsewhere("b")
