Do not read on from a client's connection that ends

Cause: Connection.fail set `closing`, from then on all input was read and discarded. The time-out of an incomplete request, shedding and errors end connections the same way.

Change: a connection that ends is not read any more; the close over what waits resets it. As a reset discards answers under way, the close waits until the kernel has delivered them.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -13,7 +13,7 @@
 
 from garnetrelay.buffer_budget import BufferBudget
 from garnetrelay.commands import MAX_BODY_BYTES, CommandReader, InvalidRequest
-from garnetrelay.streams import BufferedReader, has_unread, new_buffer
+from garnetrelay.streams import BufferedReader, has_hung_up, has_unread, new_buffer, unacknowledged_bytes
 
 log = logging.getLogger(__name__)
 
@@ -22,8 +22,11 @@
 REQUEST_TIMEOUT = 2.5  # seconds to receive a complete request: clients expect an answer or a close within 3
 IDLE_TIMEOUT = 2.0  # seconds without a request after which a connection may be closed to make room
 CLOSE_DELAY = 0.1  # seconds for an answer just written to reach its client before the close
+FINAL_WRITE_TIMEOUT = 0.3  # seconds at the end of the process for answers that a client reads slowly
+FINAL_WRITE_CHECK_INTERVAL = 0.02  # seconds
 RECHECK_DELAY = 0.05  # seconds until an overdue connection with unread input is checked again
 LINGER_TIMEOUT = 1.0  # seconds in which a client may read the error before its connection is closed
+CLOSE_CHECK_INTERVAL = 0.05  # seconds between checks whether a connection that is being closed is done
 MAX_LINGERING_CONNECTIONS = 16  # connections above the limit that may linger: each holds a descriptor
 MAX_CONSECUTIVE_INVALID_REQUESTS = 32  # no working client sends so many
 BACKLOG = 512  # connections waiting to be accepted
@@ -234,8 +237,18 @@
     @property
     def buffered_bytes(self) -> int:
         """The bytes that this process keeps for the client: an incomplete command and unsent answers."""
-        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
-        return self.commands.buffered_bytes + unsent
+        return self.commands.buffered_bytes + self._unsent_bytes
+
+    @property
+    def has_undelivered_answers(self) -> bool:
+        """Whether a part of an answer has not reached the client's machine, as the client reads slowly."""
+        return (
+            self.transport is not None and not self.disconnected and unacknowledged_bytes(self.transport) > 0
+        )
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
     def _update_buffer_budget(self) -> None:
         if not self.disconnected:
@@ -243,7 +256,7 @@
 
     def shed(self) -> None:
         """Free the buffers, as all clients together have filled the space for them. The client may retry."""
-        if self.transport is not None and self.transport.get_write_buffer_size():
+        if self._unsent_bytes:
             self.abort()
         else:
             self.fail("too many incomplete requests", busy=True)
@@ -305,21 +318,23 @@
             self.answered_at = asyncio.get_running_loop().time()
             self._update_buffer_budget()
         if self.closing and not self.replies:
-            self._lingering_close()
+            self._close_after(LINGER_TIMEOUT)
         elif self.server.draining and not self.closing:
             self.close_between_requests()
 
     def fail(self, text: str, busy: bool = False) -> None:
         """Answer with an error, or with BUSY if ``busy``, and close the connection.
 
-        ``text`` is logged, and sent unless ``busy``. Input received later is discarded. Answers to
-        earlier requests are written first: nothing can be written after the half-close.
+        ``text`` is logged, and sent unless ``busy``. Later input stays unread. Answers to earlier requests
+        are written first: nothing can be written after the half-close.
         """
         if not self.closing:
             log.info("client connection closed: %s", text)
             self.closing = True
             self.commands.clear()
             self._stop_request_timer()
+            if self.transport is not None:
+                self.transport.pause_reading()
             reply = Reply(self)
             self.replies.append(reply)
             if busy:
@@ -331,18 +346,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _lingering_close(self) -> None:
-        """Half-close, then close after a delay.
-
-        A close with unread input sends a reset, which discards the error just written. The transport
-        flushes pending writes before the half-close.
-        """
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return
-        _half_close(transport)
-        asyncio.get_running_loop().call_later(LINGER_TIMEOUT, transport.abort)
-
     def close_between_requests(self) -> bool:
         """Close the connection if it is between requests; return whether it was closed.
 
@@ -350,7 +353,9 @@
         would lose a message. Such input is answered first, and the connection is closed right after.
         """
         transport = self.transport
-        if self.closing or self.replies or self.commands.buffered_bytes or self.has_more_chunks:
+        if self.closing or self.replies or self.commands.buffered_bytes or self._unsent_bytes:
+            return False
+        if self.has_more_chunks:
             return False
         if transport is None or transport.is_closing():
             return False
@@ -361,20 +366,42 @@
         return True
 
     def close_gracefully(self) -> None:
-        """Half-close, and close once an answer just written has had time to reach the client.
-
-        A close with unread input sends a reset, which discards that answer. Input that arrives meanwhile
-        stays unread, and the client sends it to another relay.
-        """
+        """Half-close, and close once an answer just written has had time to reach the client."""
         transport, loop = self.transport, asyncio.get_running_loop()
         if transport is None or transport.is_closing():
             return
-        if loop.time() - self.answered_at > CLOSE_DELAY:
+        if loop.time() - self.answered_at > CLOSE_DELAY and not self.has_undelivered_answers:
             transport.close()
+        else:
+            self._close_after(CLOSE_DELAY)
+
+    def _close_after(self, seconds: float) -> None:
+        """Half-close, and close after a delay in which the client may read its answers.
+
+        A close with unread input sends a reset, which may discard an answer that the client has not read. The
+        transport flushes pending writes before the half-close.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
             return
         transport.pause_reading()
         _half_close(transport)
-        loop.call_later(CLOSE_DELAY, transport.abort)
+        asyncio.get_running_loop().call_later(CLOSE_DELAY, self._finish_close, seconds - CLOSE_DELAY)
+
+    def _finish_close(self, remaining: float) -> None:
+        """Close once ``remaining`` seconds are over, or the client has closed its side.
+
+        Answers that have not reached the client's machine get ``WRITE_TIMEOUT`` more.
+        """
+        transport = self.transport
+        if transport is None or self.disconnected:
+            return
+        if has_hung_up(transport) or remaining <= (-WRITE_TIMEOUT if self.has_undelivered_answers else 0):
+            transport.abort()
+            return
+        asyncio.get_running_loop().call_later(
+            CLOSE_CHECK_INTERVAL, self._finish_close, remaining - CLOSE_CHECK_INTERVAL
+        )
 
 
 class Server:
@@ -566,15 +593,26 @@
                 connection.close_between_requests()
 
     async def end(self) -> None:
-        """Close all connections, and give the answers written ``CLOSE_DELAY`` to reach the clients."""
+        """Close all connections, and give the answers written ``CLOSE_DELAY`` to reach the clients.
+
+        Answers that a client is still about to receive get ``FINAL_WRITE_TIMEOUT`` in all.
+        """
         self._stop_listening()
         for connection in list(self.connections):
             if connection.commands.buffered_bytes:  # the client sends the remainder and waits for an answer
                 connection.fail("process is stopping", busy=True)
             connection.closing = True
             connection.close_gracefully()
+        ends_at = asyncio.get_running_loop().time() + FINAL_WRITE_TIMEOUT
         if self.connections:
             await asyncio.sleep(CLOSE_DELAY)
+        while self.has_undelivered_answers and asyncio.get_running_loop().time() < ends_at:
+            await asyncio.sleep(FINAL_WRITE_CHECK_INTERVAL)
+
+    @property
+    def has_undelivered_answers(self) -> bool:
+        """Whether a part of an answer has not reached its client's machine, as the client reads slowly."""
+        return any(connection.has_undelivered_answers for connection in self.connections)
 
     def _close_connections(self) -> None:
         """Close connections between requests.
--- a/garnetrelay/streams.py
+++ b/garnetrelay/streams.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
+import fcntl
 import select
+import termios
 from abc import ABC, abstractmethod
 
 READ_SIZE = 64 * 1024
@@ -31,6 +34,7 @@
 
 
 def new_buffer() -> memoryview:
+    """Return a buffer for the reads of all connections of one owner."""
     return memoryview(bytearray(READ_SIZE))
 
 
@@ -45,3 +49,26 @@
         return bool(poll.poll(0))
     except OSError:
         return fallback
+
+
+def has_hung_up(transport: asyncio.Transport) -> bool:
+    """Return whether the peer has closed its side, even behind input that has not been read."""
+    poll = select.poll()
+    try:
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except OSError:
+        return True  # the socket is gone
+
+
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes written that the peer's machine has not confirmed yet: a reset would discard them.
+
+    Where the kernel does not tell, only those that it has not taken yet count.
+    """
+    in_kernel = array.array("i", [0])
+    try:
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, in_kernel)
+    except OSError:
+        pass
+    return transport.get_write_buffer_size() + in_kernel[0]
