Bound the input of clients that one iteration of the event loop handles

Cause: data_received handled all commands of a read of 64 KiB, with a write for each answer, and an iteration of the event loop reads all connections that have input.

Change: a connection looks at its input, takes at most 32 commands and reads just these bytes; after 5 ms of an iteration each connection gets one command. Input that waits stays in the kernel, so memory, order, shutdown and closes need nothing more. Answers are written together.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -13,7 +13,8 @@
 
 from garnetrelay.buffer_budget import BufferBudget
 from garnetrelay.commands import MAX_BODY_BYTES, CommandReader, InvalidRequest
-from garnetrelay.streams import BufferedReader, has_hung_up, has_unread, new_buffer, unacknowledged_bytes
+from garnetrelay.streams import has_hung_up, has_unread, new_buffer, unacknowledged_bytes
+from garnetrelay.turn_budget import TurnBudget
 
 log = logging.getLogger(__name__)
 
@@ -36,9 +37,12 @@
 FINAL_ACCEPT_RETRY_DELAY = 0.02  # seconds; for connections still queued at shutdown
 # errors of accept() that are worth a later retry
 OUT_OF_RESOURCES_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-PARSE_CHUNK_BYTES = 16 * 1024  # parsed at a time: bounds the input left over after a command
-# unsent answers beyond which no more input is read from a client; those to one read of input come on top
-MAX_UNSENT_BYTES = 16 * 1024
+PARSE_CHUNK_BYTES = 16 * 1024  # of input in which commands are looked for at a time
+# Commands of one connection in an iteration of the event loop. At most as many as may be invalid in a row:
+# what follows on the last of them stays unread.
+MAX_COMMANDS_PER_READ = MAX_CONSECUTIVE_INVALID_REQUESTS
+TURN_SECONDS = 0.005  # of an iteration, after which each connection is read one command at a time
+MAX_UNSENT_BYTES = 4 * 1024  # unsent answers beyond which no more input is read from a client
 WRITE_TIMEOUT = 2.5  # seconds for a client to read some of its answers, once reading from it has stopped
 DEFAULT_BUFFER_BYTES = 16 * 1024 * 1024  # for all connections together
 
@@ -149,14 +153,29 @@
         transport.abort()
 
 
-class Connection(BufferedReader):
-    """A connection from a client."""
+@dataclass(frozen=True, slots=True)
+class WaitingInput:
+    """What a look at a socket's input has found, without reading it."""
+
+    size: int  # bytes to read
+    commands: list[list[bytes]]  # the arguments of those that these bytes complete
+    error: InvalidRequest | None = None  # what follows is no command
+
+
+class Connection(asyncio.BufferedProtocol):
+    """A connection from a client.
 
-    def __init__(self, server: Server) -> None:
+    Only input that is handled at once is read: complete commands, up to a limit, and the bytes of an
+    incomplete one. The rest waits in the kernel: whatever ends the connection, all requests that were read
+    have been answered. A close over unread input resets the connection, and the client may send it again.
+    """
+
+    def __init__(self, server: Server, accepted: socket.socket) -> None:
         self.server = server
-        self.buffer = server.buffer
+        self.socket = accepted  # the transport reads, writes and closes it
         self.commands = CommandReader()
-        self.has_more_chunks: bool = False  # part of the input read is not parsed yet
+        self.input: WaitingInput | None = None  # what the next read takes
+        self.handling_commands: bool = False  # their answers are written together
         self.replies: deque[Reply] = deque()
         self.invalid_requests = 0  # in a row
         self.disconnected: bool = False
@@ -262,27 +281,63 @@
             self.fail("too many incomplete requests", busy=True)
         self.server.buffer_budget.update(self, 0)
 
-    def data_received(self, data: bytes) -> None:
-        for start in range(0, len(data), PARSE_CHUNK_BYTES):
-            if self.closing:
-                return  # further input is discarded
-            self.has_more_chunks = start + PARSE_CHUNK_BYTES < len(data)
-            self._parse_chunk(data[start : start + PARSE_CHUNK_BYTES])
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Look at the input, and return a buffer for the part of it that is to be read now."""
+        try:
+            self.input = self._look_at_input()
+        except OSError:
+            self.input = None  # the read that follows meets the same error
+        return self.server.buffer[: 1 if self.input is None else max(1, self.input.size)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the input that was read."""
+        waiting, self.input = self.input, None
+        if waiting is None:  # it came between the look and the read
+            waiting = self._find_commands(self.server.buffer[:nbytes], max_commands=1)
+        self.handling_commands = True
+        for arguments in waiting.commands:
+            self._dispatch(arguments)
+        self.handling_commands = False
+        if waiting.error is not None:
+            self.fail(f"Protocol error: {waiting.error}")  # framing is lost: later input cannot be parsed
+        self.send_ready()
+        if self.commands.buffered_bytes:
+            self._start_request_timer()
         self._update_buffer_budget()
         self.server.shed_excess_buffers()
         if self.server.draining and not self.closing:
             self.close_between_requests()
 
-    def _parse_chunk(self, chunk: bytes) -> None:
-        self.commands.feed(chunk)
+    def _look_at_input(self) -> WaitingInput | None:
+        """Return what is to be read of the waiting input; None at its end. Raises OSError."""
+        # An incomplete command is likely a long one, and the rest of it is nearly all that waits.
+        size = len(self.server.buffer) if self.commands.buffered_bytes else PARSE_CHUNK_BYTES
+        received = self.socket.recv_into(self.server.buffer, size, socket.MSG_PEEK)
+        if not received:
+            return None
+        return self._find_commands(self.server.buffer[:received], self._command_allowance())
+
+    def _command_allowance(self) -> int:
+        """Return the number of commands to handle now. It is never 0, so that no connection starves."""
+        if self.server.turn_budget.is_spent() or self._unsent_bytes:
+            return 1
+        return min(MAX_COMMANDS_PER_READ, MAX_CONSECUTIVE_INVALID_REQUESTS - self.invalid_requests)
+
+    def _find_commands(self, data: memoryview, max_commands: int) -> WaitingInput:
+        """Find up to ``max_commands`` commands in the input. Bytes of an incomplete one are kept."""
+        commands: list[list[bytes]] = []
+        error: InvalidRequest | None = None
+        self.commands.feed(data)
         try:
-            while (arguments := self.commands.read_command()) is not None:
-                self._dispatch(arguments)
-        except InvalidRequest as error:
-            self.fail(f"Protocol error: {error}")  # framing is lost: later input cannot be parsed
-            return
-        if self.commands.buffered_bytes:
-            self._start_request_timer()
+            while len(commands) < max_commands and (arguments := self.commands.read_command()) is not None:
+                commands.append(arguments)
+        except InvalidRequest as caught:
+            error = caught
+        size = len(data)
+        if error is not None or len(commands) == max_commands:
+            size -= min(size, self.commands.buffered_bytes)  # the rest is looked at again, or never read
+            self.commands.clear()
+        return WaitingInput(size, commands, error)
 
     def _dispatch(self, arguments: list[bytes]) -> None:
         self._stop_request_timer()
@@ -310,6 +365,8 @@
 
     def send_ready(self) -> None:
         """Write the answers that are ready, in the order of their requests."""
+        if self.handling_commands:
+            return  # the answers to all of them are written at once
         ready = []
         while self.replies and self.replies[0].data is not None:
             ready.append(self.replies.popleft().data or b"")
@@ -355,8 +412,6 @@
         transport = self.transport
         if self.closing or self.replies or self.commands.buffered_bytes or self._unsent_bytes:
             return False
-        if self.has_more_chunks:
-            return False
         if transport is None or transport.is_closing():
             return False
         if has_unread(transport, fallback=True):
@@ -414,6 +469,7 @@
         self.max_connections = max_connections
         self.buffer_budget: BufferBudget[Connection] = BufferBudget(max_buffered_bytes)
         self.buffer = new_buffer()
+        self.turn_budget = TurnBudget(TURN_SECONDS)
         self.connections: dict[Connection, None] = {}  # ordered by latest request, oldest first
         self.closed_unused_count = 0  # connections closed without a request so far
         self.stopped = False  # graceful shutdown: no new connections any more
@@ -480,7 +536,9 @@
         with contextlib.suppress(OSError):  # the connection works without it
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self), accepted)
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: Connection(self, accepted), accepted
+            )
         except OSError as error:
             log.warning("cannot set up an accepted connection: %s", error.strerror)
             accepted.close()
