Bound the parts of an endpoint's response that one iteration handles

An endpoint may answer with 64 KiB of interim responses or one-byte chunks at once.

Cause: Connection._read_events handled all parts that a read had brought.

Change: 32 parts in an iteration of the event loop; the connection is not read meanwhile.

Evidence: test_pieces_of_a_response_handled_in_one_iteration_are_bounded (complete and cut off) failed before, with thousands of parts in one iteration, and passes.

--- a/garnetrelay/connection_pool.py
+++ b/garnetrelay/connection_pool.py
@@ -63,6 +63,7 @@
 # seconds from the end of a response until its connection may carry the next request: surplus bytes behind a
 # response arrive meanwhile and close the connection
 SETTLE_TIME = 0.025
+MAX_EVENTS_PER_TURN = 32  # parts of one response that are handled in an iteration of the event loop
 RESPONSE_DRAIN_TIMEOUT = 0.5  # seconds to receive the remainder of a response whose outcome is known
 
 
@@ -211,6 +212,7 @@
         self.exchange_count = 0
         self.written_at = 0.0
         self.settled_at = 0.0  # from then on surplus bytes of the latest response are not expected any more
+        self.has_unhandled_events: bool = False  # parts of the response, left for the next iteration
         self.lost_by_local_error = False  # closed by an error of the local machine
         self.request_written: bool = False  # the kernel has accepted the last byte of the latest request
         self.transport: asyncio.Transport | None = None
@@ -227,6 +229,8 @@
         self.pool.discard(self)
         if self.timer is not None:
             self.timer.cancel()
+        while self.has_unhandled_events:
+            self._handle_events()
         if self.exchange is not None:
             self._finish(self._incomplete_response_outcome(), keep=False)
 
@@ -307,16 +311,39 @@
         self.head = (self.head + data)[:MAX_STATUS_LINE_BYTES]
         try:
             self.http.receive_data(data)
-            self._read_events()
         except h11.RemoteProtocolError as error:
-            log.debug("endpoint %s: malformed response: %s", self.endpoint, error)
-            self._finish(self._incomplete_response_outcome(), keep=False)
+            self._on_malformed_response(error)
+        else:
+            self._handle_events()
+
+    def _on_malformed_response(self, error: h11.RemoteProtocolError) -> None:
+        log.debug("endpoint %s: malformed response: %s", self.endpoint, error)
+        self._finish(self._incomplete_response_outcome(), keep=False)
+
+    def _handle_events(self) -> None:
+        """Handle parts of the response, and leave the rest of many for the next event loop iteration."""
+        try:
+            self.has_unhandled_events = self._read_events()
+        except h11.RemoteProtocolError as error:
+            self.has_unhandled_events = False
+            self._on_malformed_response(error)
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.has_unhandled_events:
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._handle_remaining_events)
+            return
+        self.transport.resume_reading()
         if (
             self.exchange is not None
             and self.received_bytes > MAX_RESPONSE_BODY_BYTES + MAX_RESPONSE_HEAD_BYTES
         ):
             self._finish(self._incomplete_response_outcome(), keep=False)
 
+    def _handle_remaining_events(self) -> None:
+        if self.has_unhandled_events:  # not handled meanwhile, as the connection was lost
+            self._handle_events()
+
     def _on_surplus(self, data: bytes) -> None:
         """Close the connection: input without a request could be taken for the next response."""
         if data:
@@ -324,8 +351,11 @@
             log.debug("endpoint %s: %d bytes behind a response", self.endpoint, len(data))
         self.abort()
 
-    def _read_events(self) -> None:
-        while self.exchange is not None:
+    def _read_events(self) -> bool:
+        """Handle up to ``MAX_EVENTS_PER_TURN`` parts of the response. Return whether more may be there."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self.exchange is None:
+                return False
             event = self.http.next_event()
             match event:
                 case h11.Response():
@@ -349,7 +379,8 @@
                 case h11.ConnectionClosed():
                     self._finish(self._incomplete_response_outcome(), keep=False)
                 case _:
-                    return  # more input is needed
+                    return False  # more input is needed
+        return self.exchange is not None
 
     def _start_drain_timer(self) -> None:
         self.timer = asyncio.get_running_loop().call_later(RESPONSE_DRAIN_TIMEOUT, self.abort)
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -11,6 +11,7 @@
 import socket
 from typing import Any
 
+import h11
 import pytest
 
 from garnetrelay import clients, connection_pool, notices, relay
@@ -264,6 +265,37 @@
     assert len(connection.body) <= connection_pool.MAX_REPORT_BYTES
 
 
+# Guards against an endpoint that holds up all other work with a response in thousands of pieces.
+@pytest.mark.parametrize("ends", [True, False], ids=["complete", "cut off"])
+async def test_pieces_of_a_response_handled_in_one_iteration_are_bounded(
+    field: Field, monkeypatch: pytest.MonkeyPatch, ends: bool
+) -> None:
+    client = await field.start()
+    loop, counts, next_event = asyncio.get_running_loop(), [0], h11.Connection.next_event
+
+    def next_iteration() -> None:
+        counts.append(0)
+        loop.call_soon(next_iteration)
+
+    def count_and_read(connection: h11.Connection) -> Any:
+        counts[-1] += 1
+        return next_event(connection)
+
+    await client.enqueue("m1", "unsafe")
+    call = await field.host.next_call()
+    monkeypatch.setattr(h11.Connection, "next_event", count_and_read)
+    next_iteration()
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 700
+    body = b"1\r\n7\r\n" * 3_000
+    call.send_raw(interim + b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n" + body)
+    if ends:
+        call.send_raw(b"0\r\n\r\n")
+    else:
+        call.writer.close()
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert sum(counts) > 3_700 and max(counts) <= connection_pool.MAX_EVENTS_PER_TURN + 1
+
+
 async def test_endless_success_response_closes_its_connection(field: Field) -> None:
     client = await field.start()
     await client.enqueue("m1", "unsafe")
