--- a/garnetrelay/files.py
+++ b/garnetrelay/files.py
@@ -44,3 +44,11 @@
         log.warning("%s cannot be removed: %s", path.name, error.strerror)
         return False
     return True
+
+
+def file_size(path: Path) -> int:
+    """Return the size of a file in bytes; 0 if it does not exist or cannot be examined at present."""
+    try:
+        return path.stat().st_size
+    except OSError:
+        return 0
--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -22,14 +22,14 @@
 import os
 import secrets
 import time
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, replace
 from itertools import chain
 from pathlib import Path
 from typing import Any
 
 from garnetrelay.clock import boot_id, monotonic_ms, wall_offset_ms
-from garnetrelay.files import close_quietly, read_all, remove_quietly, write_all
+from garnetrelay.files import close_quietly, file_size, read_all, remove_quietly, write_all
 from garnetrelay.journal_records import DamagedRange, Record, RecordReader, encode_marker, encode_record
 
 log = logging.getLogger(__name__)
@@ -39,6 +39,7 @@
 RECORD_OVERHEAD = 1024
 MIN_REWRITE_BYTES = 256 * 1024  # a smaller file is not rewritten only to drop dead records
 REWRITE_RETRY_DELAY = 1.0  # seconds until an optional rewrite is tried again after it failed
+END_RECORDS_BYTES = 512  # for the records of the end of one message and of its notice
 MARKER_BYTES = 16  # of randomness in a synchronization marker
 
 
@@ -80,16 +81,20 @@
         """
         self.path = folder / name
         self.temporary_path = folder / f"{name}.new"
+        self._own_paths = (self.path, self.temporary_path)
         self.max_bytes = disk_bytes - 8 * BLOCK_SIZE
+        self.folder_limit = self.max_bytes  # bytes of all journals; another process may hold some of them
         self.entries: dict[str, JournalEntry] = {}
         # bytes that the live entries would take in a rewritten file, including their later records
         self.live_bytes = 0
+        self.live_bytes_by_destination: Counter[int] = Counter()
         self.pending: deque[bytes] = deque()  # records that could not be written yet, oldest first
         self.failing = False  # the latest record could not be written
         self.has_torn_tail = False  # the file ends in a partial record, to be truncated before the next write
         self.boot = boot_id()
         self.offset = wall_offset_ms()  # from times in memory to times in the file
         self.is_current_boot = False  # the times in the file are of this boot
+        self.rewrite_failed = False  # the latest one
         self.next_rewrite_at = 0.0  # when an optional rewrite may be tried again
         self.marker = secrets.token_hex(MARKER_BYTES)  # precedes each message's record in the file
         self.is_marked = True  # no message's record in the file lacks a marker
@@ -118,15 +123,21 @@
 
     # ---- message lifecycle
 
+    @property
+    def capacity(self) -> int:
+        """The most that ``live_bytes`` may become: the old and the rewritten file must fit together."""
+        return self.max_bytes // 2
+
     def has_room(self, weight: int) -> bool:
         """Return whether one more message fits, even while the old and the rewritten file exist together."""
-        return not self.failing and 2 * (self.live_bytes + weight + RECORD_OVERHEAD) <= self.max_bytes
+        return not self.failing and self.live_bytes + weight + RECORD_OVERHEAD <= self.capacity
 
     def accept(self, entry: JournalEntry) -> bool:
-        """Record an accepted message. Returns False if that fails: the message must not be accepted then."""
+        """Record an accepted message. Returns False if that fails or if there is no room: the message must
+        not be accepted then."""
         if self.marker.encode() in entry.body and not self._replace_marker(entry.body):
             return False
-        if not self._append(self._full_record(entry)):
+        if not self._append(self._full_record(entry), entry_bytes(entry)):
             return False
         self._add(entry)
         return True
@@ -135,7 +146,12 @@
         """Record the start of an attempt. Returns False if that fails: its first byte must not be sent
         then."""
         record = {"t": "try", "ref": message_id, "at": now_ms + self.offset, "zone": zone}
-        if message_id not in self.entries or not self._append(encode_record(record)):
+        data = encode_record(record)
+        if (
+            message_id not in self.entries
+            or not self._has_room_for_attempt(len(data))
+            or not self._append(data)
+        ):
             return False
         self._apply(record)
         return True
@@ -193,19 +209,27 @@
                     entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
                 entry.trying_at = None
             case "ended" if record["result"] is not None:
-                self.live_bytes -= len(entry.body)
+                self._remove(entry)
                 entry.ended, entry.wait_ms, entry.body = record["result"], record["wait"], b""
+                self._add(entry)
             case "ended" | "told":
-                self.live_bytes -= record_weight(entry.ref, entry.key, entry.body) + RECORD_OVERHEAD
-                del self.entries[entry.ref]
+                self._remove(entry)
 
     def _add(self, entry: JournalEntry) -> None:
         previous = self.entries.get(entry.ref)
-        self.live_bytes += record_weight(entry.ref, entry.key, entry.body) + RECORD_OVERHEAD
         if previous is not None:
-            self.live_bytes -= record_weight(previous.ref, previous.key, previous.body) + RECORD_OVERHEAD
+            self._remove(previous)
+        self.live_bytes += entry_bytes(entry)
+        self.live_bytes_by_destination[entry.dest] += entry_bytes(entry)
         self.entries[entry.ref] = entry
 
+    def _remove(self, entry: JournalEntry) -> None:
+        self.live_bytes -= entry_bytes(entry)
+        self.live_bytes_by_destination[entry.dest] -= entry_bytes(entry)
+        if not self.live_bytes_by_destination[entry.dest]:
+            del self.live_bytes_by_destination[entry.dest]
+        del self.entries[entry.ref]
+
     # ---- the clock
 
     def _clock_record(self) -> bytes:
@@ -260,14 +284,19 @@
 
     # ---- the file
 
-    def _append(self, data: bytes) -> bool:
-        """Append the record after all pending ones. Returns whether it is in the file."""
-        self._make_room(sum(map(len, self.pending)) + len(data))
-        return self._write_pending() and self._write(data)
+    def _append(self, data: bytes, new_bytes: int = 0) -> bool:
+        """Append the record after all pending ones. Returns whether it is in the file.
 
-    def _make_room(self, needed: int) -> None:
+        ``new_bytes`` is what the record adds to the live bytes.
+        """
+        self._make_room(sum(map(len, self.pending)) + len(data), new_bytes)
+        return self._write_pending() and self._write(data, new_bytes)
+
+    def _make_room(self, needed: int, new_bytes: int = 0) -> None:
         """Rewrite the file if it has no room for ``needed`` more bytes, or if most of it is dead records."""
-        if self.size + needed > max(self.max_bytes - self.live_bytes - RECORD_OVERHEAD, 0):
+        if self.size + self.live_bytes > self._limit():
+            return  # both files would not fit: messages have to end first
+        if self.size + needed > max(self.max_bytes - self.live_bytes - new_bytes - RECORD_OVERHEAD, 0):
             self._rewrite()
         elif (
             self.size > max(MIN_REWRITE_BYTES, 3 * self.live_bytes) or not self.is_marked
@@ -276,6 +305,35 @@
             if not self._rewrite():
                 self.next_rewrite_at = time.monotonic() + REWRITE_RETRY_DELAY
 
+    def _may_write(self, size: int, new_bytes: int) -> bool:
+        """Return whether ``size`` more bytes may be written.
+
+        The room for a rewritten file stays free. Records of messages that are in the file may take it where a
+        rewrite makes no room, or has none itself: without them no message could end, which would make room.
+        """
+        if self.size + size + self.live_bytes + new_bytes <= self.max_bytes:
+            return True
+        limit = self._limit()
+        rewrite_is_due = self.rewrite_failed and self.size + self.live_bytes <= limit
+        return not new_bytes and not rewrite_is_due and self.size + size <= limit
+
+    def _has_room_for_attempt(self, size: int) -> bool:
+        """Return whether the record of an attempt leaves room for those that end all messages."""
+        return self.size + size + END_RECORDS_BYTES * len(self.entries) <= self._limit()
+
+    def _limit(self) -> int:
+        """Return the bytes that this file and the rewritten one may have together.
+
+        That is ``max_bytes``, but for a file that a process with a higher limit has left: until its messages
+        have ended it may use what the other journals in the folder leave.
+        """
+        if self.size + self.live_bytes <= self.max_bytes:
+            return self.max_bytes
+        others = sum(
+            file_size(path) for path in self.path.parent.glob("journal*") if path not in self._own_paths
+        )
+        return max(self.max_bytes, self.folder_limit - others)
+
     def _write_pending(self) -> bool:
         while self.pending:
             if not self._write(self.pending[0]):
@@ -283,9 +341,10 @@
             self.pending.popleft()
         return True
 
-    def _write(self, data: bytes) -> bool:
-        if self.size + len(data) > max(self.max_bytes - self.live_bytes, 0):
-            # The rewrite failed. The remaining disk space is reserved for a later rewrite.
+    def _write(self, data: bytes, new_bytes: int = 0) -> bool:
+        if not self._may_write(len(data), new_bytes):
+            if new_bytes:
+                return False  # the message must wait; the disk works, and other records may fit
             return self._report_failure(
                 f"no room for a record: {self.size} of {self.max_bytes} bytes, {self.live_bytes} live"
             )
@@ -344,10 +403,12 @@
             return self._report_rewrite_failure(error)
         close_quietly(self.file)
         self.file, self.size, self.has_torn_tail, self.is_marked = new_file, size, False, True
+        self.rewrite_failed = False
         self.pending.clear()  # the rewritten entries include the effect of all pending records
         return True
 
     def _report_rewrite_failure(self, error: OSError) -> bool:
+        self.rewrite_failed = True
         if not self.failing and time.monotonic() >= self.next_rewrite_at:
             log.error("%s: cannot be rewritten: %s", self.path.name, error.strerror)
         return False
@@ -401,6 +462,11 @@
 NO_OP_RECORD = encode_record({"t": "told", "ref": ""})
 
 
+def entry_bytes(entry: JournalEntry) -> int:
+    """Return the bytes that are reserved for a live entry."""
+    return record_weight(entry.ref, entry.key, entry.body) + RECORD_OVERHEAD
+
+
 def record_weight(message_id: str, key: str | None, body: bytes) -> int:
     """Return the bytes of a message's record that depend on its contents. Names count twice, as escaping can
     double their length."""
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -10,12 +10,14 @@
 import logging
 import os
 import re
-from collections import ChainMap
+from collections import ChainMap, Counter
 from collections.abc import Iterable
 from pathlib import Path
 
-from garnetrelay.journal import JournalEntry, Journal
+from garnetrelay.files import file_size
+from garnetrelay.journal import RECORD_OVERHEAD, JournalEntry, Journal, record_weight
 from garnetrelay.journal_follower import JournalFollower
+from starlingwick.storage_share import StorageReservations, may_use_share
 
 log = logging.getLogger(__name__)
 
@@ -32,6 +34,7 @@
         self.shared = shared
         # For each journal. Another process may start at any time, and the disk limit applies to both
         # together.
+        self.folder_limit = disk_bytes
         self.max_bytes = (disk_bytes - disk_bytes // HANDOVER_DISK_DIVISOR) // 2 if shared else disk_bytes
         self.journals: dict[str, Journal] = {}
         self.held_by_others: list[Path] = []  # locked by another live process at the last check
@@ -40,6 +43,7 @@
         # ids acquired while another process is alive: a second journal may contain the same messages
         self.acquired_ids: set[str] = set()
         self.entries: ChainMap[str, JournalEntry] = ChainMap()
+        self.reservations = StorageReservations()  # of messages that are not accepted yet
         _require_folder(folder)
         self.own_journal = self._open_free_journal()  # None while no journal can be opened
         self.acquire_free_journals()
@@ -92,7 +96,7 @@
             if name in self.journals:
                 continue
             try:
-                journal = Journal(self.folder, self.max_bytes, name, create=False)
+                journal = self._open_journal(name, create=False)
             except BlockingIOError:
                 locked_journals.append(self.folder / name)
             except FileNotFoundError:
@@ -157,13 +161,39 @@
         Acquired journals count until their messages have ended. Without a shared folder the journal of a
         process that has not exited yet counts as well: that process may use the whole disk limit.
         """
-        other_journals_bytes = sum(
-            journal.size for journal in self.journals.values() if journal is not self.own_journal
-        )
-        if not self.shared:
-            other_journals_bytes += sum(_file_size(path) for path in self.held_by_others)
-        # Halved, because ``Journal.has_room`` counts the needed bytes twice.
-        return self.own_journal is not None and self.own_journal.has_room(weight + other_journals_bytes // 2)
+        # Halved, because a journal's capacity counts the bytes of both its files.
+        needed = weight + self._other_journals_bytes() // 2
+        return self.own_journal is not None and self.own_journal.has_room(needed)
+
+    def reserve(self, message_id: str, destination: int, key: str | None, body: bytes) -> bool:
+        """Reserve room for a message until ``clear_reservations``. Return whether there is room.
+
+        A message beyond its destination's share gets none, so that one destination leaves room for others.
+        """
+        weight = record_weight(message_id, key, body)
+        if self.own_journal is None or not self.has_room(self.reservations.total + weight):
+            return False
+        size = weight + RECORD_OVERHEAD
+        free = self.own_journal.capacity - self._other_journals_bytes() // 2
+        free -= self.own_journal.live_bytes + self.reservations.total
+        used = Counter(self.reservations.by_destination)
+        for journal in self.journals.values():
+            used[destination] += journal.live_bytes_by_destination[destination]
+        if not may_use_share(destination, size, free, used):
+            return False
+        self.reservations.add(destination, size)
+        return True
+
+    def clear_reservations(self) -> None:
+        """Release the reservations. The caller accepts or rejects the messages at once."""
+        self.reservations.clear()
+
+    def _other_journals_bytes(self) -> int:
+        """Return the bytes of the files beside the own journal that count towards the disk limit."""
+        acquired = sum(journal.size for journal in self.journals.values() if journal is not self.own_journal)
+        if self.shared:
+            return acquired
+        return acquired + sum(file_size(path) for path in self.held_by_others)
 
     def accept(self, entry: JournalEntry) -> bool:
         """Record a message. Return whether it is recorded; otherwise it must not be accepted."""
@@ -222,7 +252,7 @@
                 continue
             existed = os.path.exists(self.folder / name)
             try:
-                journal = Journal(self.folder, self.max_bytes, name)
+                journal = self._open_journal(name, create=True)
             except (BlockingIOError, FileNotFoundError):
                 # It is locked by another process, or was removed while it was opened.
                 continue
@@ -236,6 +266,12 @@
             return journal
         return None
 
+    def _open_journal(self, name: str, create: bool) -> Journal:
+        """Open a journal. Raises what ``Journal`` raises."""
+        journal = Journal(self.folder, self.max_bytes, name, create)
+        journal.folder_limit = self.folder_limit
+        return journal
+
     def _add_journal(self, journal: Journal) -> list[JournalEntry]:
         """Add an acquired journal, and drop from it the messages that another journal contains or contained.
 
@@ -273,10 +309,3 @@
         raise
     except OSError as error:
         log.error("journal: the folder cannot be read: %s", error.strerror)
-
-
-def _file_size(path: Path) -> int:
-    try:
-        return path.stat().st_size
-    except OSError:
-        return 0
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -31,7 +31,7 @@
 from garnetrelay.handover import Handover
 from garnetrelay.health import Health
 from garnetrelay.health_store import HealthStore
-from garnetrelay.journal import JournalEntry, record_weight
+from garnetrelay.journal import JournalEntry
 from garnetrelay.endpoint_cache import EndpointCache
 from garnetrelay.metrics import MessageEnd, Metrics
 from garnetrelay.notices import Notices
@@ -584,7 +584,9 @@
                 destination=request.destination,
                 key=request.key,
                 time_left=request.time_left_ms * MS,
-                storable=self.journal.has_room(record_weight(request.message_id, request.key, request.body)),
+                storable=self.journal.reserve(
+                    request.message_id, request.destination, request.key, request.body
+                ),
             )
         )
 
@@ -708,6 +710,7 @@
         """
         requests, self.pending_requests = self.pending_requests, {}
         self.pending_bytes = 0
+        self.journal.clear_reservations()
         for message_id, pending_request in requests.items():
             request, reply = pending_request.request, pending_request.reply
             match end_actions.get(message_id):
