Keep a list of endpoints as long as the configuration's, whatever the disk limit's 32nd is

Cause: the stored list had a 32nd of the disk limit, some 800 endpoints at 3 MB; a longer one was not kept. A rewrite whose list changed meanwhile was given up for 600 s where the changes did not fit behind it.

Change: the share follows the length of the configuration's list, up to a quarter; a rewrite that cannot take the changes writes the list once more.

--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -20,8 +20,11 @@
 
 T = TypeVar("T")
 
-# If the file sets neither ``list.keep`` nor ``list.disk_mb``, the list gets 1/32 of ``limits.disk_mb``.
+# If the file sets neither ``list.keep`` nor ``list.disk_mb``, the stored list gets 1/32 of the disk limit, or
+# what a list as long as the known one needs if that is more, up to a quarter.
 LIST_DISK_DIVISOR = 32
+LIST_MAX_DISK_DIVISOR = 4
+STORED_ENTRY_BYTES = 96  # of one endpoint in one of the two files of the stored list, with room for changes
 
 
 class ConfigError(ValueError):
@@ -142,6 +145,14 @@
     return "address" in value and "group" in value
 
 
+def _default_list_bytes(disk_bytes: int, known: Any) -> int:
+    """Return the disk space for the stored list if the file does not set it. ``known`` is the list in the
+    file, whose entries may have been replaced."""
+    entries = known.get("endpoints") if isinstance(known, dict) else None
+    needed = 2 * STORED_ENTRY_BYTES * (len(entries) if isinstance(entries, list) else 0)
+    return max(disk_bytes // LIST_DISK_DIVISOR, min(needed, disk_bytes // LIST_MAX_DISK_DIVISOR))
+
+
 def _build_config(raw: dict[str, Any], environment: Mapping[str, str], state: Path) -> Config:
     limits, raw_settings = raw.get("limits", {}), raw["settings"]
     settings = parse_settings(raw_settings)
@@ -153,13 +164,12 @@
     list_options = raw.get("list", {})
     list_bytes = 0
     if list_options.get("keep", True):
-        # With ``list.keep`` but no ``list.disk_mb``, the list gets half of ``limits.disk_mb``.
-        default_list_bytes = disk_bytes // (2 if "keep" in list_options else LIST_DISK_DIVISOR)
-        list_bytes = (
-            int(float(list_options["disk_mb"]) * 1_000_000)
-            if "disk_mb" in list_options
-            else default_list_bytes
-        )
+        if "disk_mb" in list_options:
+            list_bytes = int(float(list_options["disk_mb"]) * 1_000_000)
+        elif "keep" in list_options:
+            list_bytes = disk_bytes // 2
+        else:
+            list_bytes = _default_list_bytes(disk_bytes, raw.get("known"))
         if not 0 < list_bytes < disk_bytes:
             raise ValueError(
                 f"list.disk_mb: the list's share is {list_bytes} bytes; it must be above 0 and below"
--- a/garnetrelay/endpoint_cache.py
+++ b/garnetrelay/endpoint_cache.py
@@ -38,6 +38,7 @@
 CHUNK_PAUSE = 0.005  # seconds between two chunks
 REWRITE_SHARE = 0.25  # of the snapshot's size: more bytes of deltas than this cause a rewrite
 MIN_REWRITE_BYTES = 64 * 1024  # bytes of deltas; fewer are not worth a rewrite
+MAX_SNAPSHOT_REPEATS = 3  # in one rewrite, while too much of the list changes during each
 # seconds after the list did not fit the size limit: it may have shrunk
 RETRY_DELAY_AFTER_OVERFLOW = 600.0
 RETRY_DELAY_AFTER_ERROR = 0.5  # seconds after a write failed: the disk may have recovered
@@ -216,21 +217,14 @@
         try:
             flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC
             new_file = os.open(self.temporary_path, flags, 0o600)
-            self.size = 0
-            succeeded = self._append(new_file, HEADER, self.header)
-            destinations = list(catalog.packed)
-            written = 0
-            for start in range(0, len(destinations), CHUNK_DESTINATIONS):
-                chunk = [
-                    destination
-                    for destination in destinations[start : start + CHUNK_DESTINATIONS]
-                    if destination in catalog.packed
-                ]
-                succeeded = succeeded and self._append(new_file, CHUNK, _encode_destinations(catalog, chunk))
-                written += len(chunk)
-                await asyncio.sleep(CHUNK_PAUSE)
-            snapshot_end = INT64_FIELD.pack(catalog.version) + INT64_FIELD.pack(written)
-            succeeded = succeeded and self._append(new_file, SNAPSHOT_END, snapshot_end)
+            succeeded = await self._write_snapshot(new_file, catalog)
+            for _ in range(MAX_SNAPSHOT_REPEATS):
+                if not succeeded or self._has_room_for_changes(catalog):
+                    break
+                # A snapshot of now has them already, and fits where they do not fit behind an older one.
+                self.changed_during_rewrite = set()
+                os.ftruncate(new_file, 0)
+                succeeded = await self._write_snapshot(new_file, catalog)
             if self.changed_during_rewrite:
                 succeeded = succeeded and self._append(
                     new_file, DELTA, _encode_destinations(catalog, self.changed_during_rewrite)
@@ -255,6 +249,31 @@
             if new_file is not None:
                 close_quietly(new_file)
 
+    async def _write_snapshot(self, new_file: int, catalog: Catalog) -> bool:
+        """Write header and list in chunks, between which other work runs. Returns whether they fit."""
+        self.size = 0
+        succeeded = self._append(new_file, HEADER, self.header)
+        destinations = list(catalog.packed)
+        written = 0
+        for start in range(0, len(destinations), CHUNK_DESTINATIONS):
+            chunk = [
+                destination
+                for destination in destinations[start : start + CHUNK_DESTINATIONS]
+                if destination in catalog.packed
+            ]
+            succeeded = succeeded and self._append(new_file, CHUNK, _encode_destinations(catalog, chunk))
+            written += len(chunk)
+            await asyncio.sleep(CHUNK_PAUSE)
+        snapshot_end = INT64_FIELD.pack(catalog.version) + INT64_FIELD.pack(written)
+        return succeeded and self._append(new_file, SNAPSHOT_END, snapshot_end)
+
+    def _has_room_for_changes(self, catalog: Catalog) -> bool:
+        """Return whether the changes since the start of the rewrite fit behind the new snapshot."""
+        if not self.changed_during_rewrite:
+            return True
+        changes = _encode_destinations(catalog, self.changed_during_rewrite)
+        return self.size + RECORD_HEADER.size + len(changes) <= self.max_bytes // 2
+
 
 def _encode_destinations(catalog: Catalog, destinations: Iterable[int]) -> bytes:
     parts = [INT64_FIELD.pack(catalog.version)]
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -482,6 +482,45 @@
     await other.stop()
 
 
+# Guards against a list that is not kept for its length: a restart without discovery forgot which endpoints
+# are gone, and sent to addresses that belonged to others by then.
+@pytest.mark.parametrize("count", [700, 1_300, 3_200])
+async def test_state_of_an_endpoint_in_a_long_list_applies_from_the_start(field: Field, count: int) -> None:
+    other = HttpServer()
+    await other.start()
+    fillers = [
+        {**filler, "group": 5_000 + number // 5}
+        for number, filler in enumerate(lines(count, address=field.host.address))
+    ]
+    field.endpoints = [endpoint(field.host), endpoint(other, "s-2"), *fillers]
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(42, endpoint(field.host, status="Gone")))
+    # up to half of the others are replaced as well
+    gone = [{**filler, "status": "Gone"} for filler in fillers[::2]]
+    replacements = [{**filler, "name": f"{filler['name']}-replacement"} for filler in fillers[::2]]
+    watch.line(listing(43, *gone, *replacements))
+    cache = field.relays[0].endpoint_cache
+    await until(lambda: field.relays[0].catalog.version == 43)
+    await until(lambda: cache is not None and (cache.file is not None or cache.failing))
+    if cache is not None and cache.rewrite_task is not None:
+        await cache.rewrite_task
+    used = sum(path.stat().st_size for path in field.state.iterdir() if path.name.startswith("list"))
+    assert used <= field.limits["disk_mb"] * 1_000_000 / 4
+    field.relays[0].server.stop()
+    field.relays[0].close()
+    field.relays.clear()
+    assert field.platform.server is not None
+    field.platform.server.close()
+    client = await field.start()
+    for n in range(3):
+        await client.enqueue(f"m{n}")
+        (await other.next_call()).answer(200)
+        await until(lambda: not field.relays[0].held_messages)
+    assert field.host.calls.empty() and field.relays[0].catalog.version == 43
+    await other.stop()
+
+
 async def test_list_is_not_cached_when_caching_is_disabled(field: Field) -> None:
     field.extra["list"] = {"keep": False}
     await field.start()
@@ -498,6 +537,10 @@
 
     field.limits["disk_mb"] = 8
     assert (configured().list_bytes, configured().disk_bytes) == (250_000, 7_750_000)
+    field.endpoints *= 4_000  # a longer list gets what it needs, and a quarter at the most
+    assert (configured().list_bytes, configured().disk_bytes) == (768_000, 7_232_000)
+    field.endpoints *= 100
+    assert (configured().list_bytes, configured().disk_bytes) == (2_000_000, 6_000_000)
     assert (configured(keep=False).list_bytes, configured(keep=False).disk_bytes) == (0, 8_000_000)
     assert (configured(keep=True).list_bytes, configured(keep=True).disk_bytes) == (4_000_000, 4_000_000)
     assert configured(keep=True, disk_mb=3).disk_bytes == 5_000_000
