Mark the relay ready before its log says that it serves

Cause: the line was written before `ready` was set, and the management thread may answer in between.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -294,6 +294,12 @@
         waiting, self.input = self.input, None
         if waiting is None:  # it came between the look and the read
             waiting = self._find_commands(self.server.buffer[:nbytes], max_commands=1)
+        elif nbytes != max(1, waiting.size):
+            log.error(
+                "client connection closed: the kernel has shown %d bytes, read %d", waiting.size, nbytes
+            )
+            self.abort()
+            return
         self.handling_commands = True
         for arguments in waiting.commands:
             self._dispatch(arguments)
--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -20,7 +20,6 @@
 import fcntl
 import logging
 import os
-import secrets
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, replace
@@ -96,7 +95,7 @@
         self.is_current_boot = False  # the times in the file are of this boot
         self.rewrite_failed = False  # the latest one
         self.next_rewrite_at = 0.0  # when an optional rewrite may be tried again
-        self.marker = secrets.token_hex(MARKER_BYTES)  # precedes each message's record in the file
+        self.marker = os.urandom(MARKER_BYTES).hex()  # precedes each message's record in the file
         self.is_marked = True  # no message's record in the file lacks a marker
         self.file = _open_locked(self.path, os.O_CREAT if create else 0)
         remove_quietly(self.temporary_path)  # left by a rewrite that a kill interrupted
@@ -267,7 +266,7 @@
         while self.marker.encode() in body or any(
             self.marker.encode() in entry.body for entry in self.entries.values()
         ):
-            self.marker = secrets.token_hex(MARKER_BYTES)
+            self.marker = os.urandom(MARKER_BYTES).hex()
         if not self._rewrite():
             self.marker = previous
         return self.marker != previous
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -397,6 +397,7 @@
         host, port = await self.server.start(
             self.config.listen.host, self.config.listen.port, inherited_socket
         )
+        self.health.ready = not self.stopping  # before the log says so: operators may ask at once
         log.info(
             "%s serves on %s port %d, one of %d relays, list version %d",
             self.config.name,
