Move the parsing of requests out of clients.py, and the scan of input into the reader

Change: client_requests.py has the request and its parsing, CommandReader.scan takes commands from input that is looked at. No change of behaviour.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -9,10 +9,10 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from garnetrelay.buffer_budget import BufferBudget
-from garnetrelay.commands import MAX_BODY_BYTES, CommandReader, InvalidRequest
+from garnetrelay.commands import CommandReader, InvalidRequest, ScannedInput
+from garnetrelay.client_requests import Request, parse_enqueue
 from garnetrelay.streams import has_hung_up, has_unread, new_buffer, unacknowledged_bytes
 from garnetrelay.turn_budget import TurnBudget
 
@@ -47,18 +47,6 @@
 DEFAULT_BUFFER_BYTES = 16 * 1024 * 1024  # for all connections together
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A message enqueued by a client."""
-
-    message_id: str
-    class_name: str
-    destination: int
-    key: str | None
-    time_left_ms: int
-    body: bytes
-
-
 class Reply:
     """The answer to one request; a connection writes its answers in the order of requests."""
 
@@ -98,54 +86,6 @@
 Handler = Callable[[Request, Reply], None]  # may raise InvalidRequest
 
 
-def parse_enqueue(arguments: list[bytes]) -> Request:
-    """Parse the arguments of an ENQUEUE command."""
-    if len(arguments) != 5:
-        raise InvalidRequest("wrong number of arguments for 'ENQUEUE'")
-    values: dict[str, str] = {}
-    for field in _decode_ascii(arguments[3], 1024, "list").split(","):
-        name, equals, value = field.partition("=")
-        if not equals:
-            raise InvalidRequest(f"'{field[:40]}' is not name=value")
-        values[name] = value
-    if len(arguments[4]) > MAX_BODY_BYTES:
-        raise InvalidRequest("body over 64 KiB")
-    for name in ("c", "d", "dest"):
-        if name not in values:
-            raise InvalidRequest(f"'{name}' is missing")
-    time_left_ms = _parse_integer(values["d"], "d")
-    if not time_left_ms:
-        raise InvalidRequest("'d' must be above 0")
-    key = values.get("k")
-    return Request(
-        message_id=_check_header_value(_decode_ascii(arguments[2], 200, "id"), "id"),
-        class_name=values["c"],
-        destination=_parse_integer(values["dest"], "dest"),
-        key=None if key is None else _check_header_value(key, "k"),
-        time_left_ms=time_left_ms,
-        body=arguments[4],
-    )
-
-
-def _decode_ascii(argument: bytes, max_length: int, field_name: str) -> str:
-    if not argument.isascii() or len(argument) > max_length:
-        raise InvalidRequest(f"unreadable {field_name}")
-    return argument.decode("ascii")
-
-
-def _check_header_value(text: str, field_name: str) -> str:
-    # The text is copied into an HTTP header: a space or control character could inject another header.
-    if not text or any(not "!" <= character <= "~" for character in text):
-        raise InvalidRequest(f"unreadable {field_name}")
-    return text
-
-
-def _parse_integer(text: str, field_name: str) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > 9:
-        raise InvalidRequest(f"'{field_name}' is no whole number in range")
-    return int(text)
-
-
 def _half_close(transport: asyncio.Transport) -> None:
     try:
         transport.write_eof()
@@ -153,15 +93,6 @@
         transport.abort()
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingInput:
-    """What a look at a socket's input has found, without reading it."""
-
-    size: int  # bytes to read
-    commands: list[list[bytes]]  # the arguments of those that these bytes complete
-    error: InvalidRequest | None = None  # what follows is no command
-
-
 class Connection(asyncio.BufferedProtocol):
     """A connection from a client.
 
@@ -174,7 +105,7 @@
         self.server = server
         self.socket = accepted  # the transport reads, writes and closes it
         self.commands = CommandReader()
-        self.input: WaitingInput | None = None  # what the next read takes
+        self.input: ScannedInput | None = None  # what the next read takes
         self.handling_commands: bool = False  # their answers are written together
         self.replies: deque[Reply] = deque()
         self.invalid_requests = 0  # in a row
@@ -293,7 +224,7 @@
         """Handle the input that was read."""
         waiting, self.input = self.input, None
         if waiting is None:  # it came between the look and the read
-            waiting = self._find_commands(self.server.buffer[:nbytes], max_commands=1)
+            waiting = self.commands.scan(self.server.buffer[:nbytes], max_commands=1)
         elif nbytes != max(1, waiting.size):
             log.error(
                 "client connection closed: the kernel has shown %d bytes, read %d", waiting.size, nbytes
@@ -314,14 +245,14 @@
         if self.server.draining and not self.closing:
             self.close_between_requests()
 
-    def _look_at_input(self) -> WaitingInput | None:
+    def _look_at_input(self) -> ScannedInput | None:
         """Return what is to be read of the waiting input; None at its end. Raises OSError."""
         # An incomplete command is likely a long one, and the rest of it is nearly all that waits.
         size = len(self.server.buffer) if self.commands.buffered_bytes else PARSE_CHUNK_BYTES
         received = self.socket.recv_into(self.server.buffer, size, socket.MSG_PEEK)
         if not received:
             return None
-        return self._find_commands(self.server.buffer[:received], self._command_allowance())
+        return self.commands.scan(self.server.buffer[:received], self._command_allowance())
 
     def _command_allowance(self) -> int:
         """Return the number of commands to handle now. It is never 0, so that no connection starves."""
@@ -329,22 +260,6 @@
             return 1
         return min(MAX_COMMANDS_PER_READ, MAX_CONSECUTIVE_INVALID_REQUESTS - self.invalid_requests)
 
-    def _find_commands(self, data: memoryview, max_commands: int) -> WaitingInput:
-        """Find up to ``max_commands`` commands in the input. Bytes of an incomplete one are kept."""
-        commands: list[list[bytes]] = []
-        error: InvalidRequest | None = None
-        self.commands.feed(data)
-        try:
-            while len(commands) < max_commands and (arguments := self.commands.read_command()) is not None:
-                commands.append(arguments)
-        except InvalidRequest as caught:
-            error = caught
-        size = len(data)
-        if error is not None or len(commands) == max_commands:
-            size -= min(size, self.commands.buffered_bytes)  # the rest is looked at again, or never read
-            self.commands.clear()
-        return WaitingInput(size, commands, error)
-
     def _dispatch(self, arguments: list[bytes]) -> None:
         self._stop_request_timer()
         self.server.touch(self)
--- a/garnetrelay/commands.py
+++ b/garnetrelay/commands.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 import hiredis
 
@@ -28,6 +29,15 @@
     """An invalid request; the text is sent to the client."""
 
 
+@dataclass(frozen=True, slots=True)
+class ScannedInput:
+    """What a scan of received bytes has found."""
+
+    size: int  # bytes that were used, from the start
+    commands: list[list[bytes]]  # the arguments of those that these bytes complete
+    error: InvalidRequest | None = None  # what follows is no command, or one beyond the limits
+
+
 class CommandReader:
     """Splits the bytes of one connection into commands."""
 
@@ -41,7 +51,7 @@
         """The bytes of a command that is incomplete, or not read yet."""
         return len(self._buffer)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Add received bytes. The caller reads all complete commands before it feeds more."""
         self._buffer += data
 
@@ -50,6 +60,25 @@
         self._buffer = bytearray()
         self._position = self._missing_arguments = 0
 
+    def scan(self, data: bytes | memoryview, max_commands: int) -> ScannedInput:
+        """Take up to ``max_commands`` commands, and keep the bytes of an incomplete one behind them.
+
+        What follows the last command, or an error, is not kept: the caller offers it again, or gives it up.
+        """
+        commands: list[list[bytes]] = []
+        error: InvalidRequest | None = None
+        self.feed(data)
+        try:
+            while len(commands) < max_commands and (arguments := self.read_command()) is not None:
+                commands.append(arguments)
+        except InvalidRequest as caught:
+            error = caught
+        size = len(data)
+        if error is not None or len(commands) == max_commands:
+            size -= min(size, self.buffered_bytes)
+            self.clear()
+        return ScannedInput(size, commands, error)
+
     def read_command(self) -> list[bytes] | None:
         """Return the arguments of the next command, or None until it is complete.
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from garnetrelay.catalog import LARGE_LIST_ENTRIES, Catalog, Endpoint, draining, release_free_memory
-from garnetrelay.clients import Reply, Request, Server
+from garnetrelay.clients import Reply, Server
 from garnetrelay.clock import monotonic_ms
 from garnetrelay.commands import InvalidRequest
 from garnetrelay.config import Address, Config
@@ -36,6 +36,7 @@
 from garnetrelay.metrics import MessageEnd, Metrics
 from garnetrelay.notices import Notices
 from garnetrelay.ownership import HANDOVER_DISK_DIVISOR, Ownership
+from garnetrelay.client_requests import Request
 from starlingwick import interface as io
 from starlingwick.control import POSSIBLY_EXECUTED, Pacer
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -78,3 +78,23 @@
     assert read(reader, data, 1000) == [] and reader.buffered_bytes == len(data)
     reader.clear()
     assert reader.buffered_bytes == 0
+
+
+# Guards against input that is lost or read twice where only a part of what waits is taken.
+@given(COMMANDS, st.binary(max_size=4), st.integers(1, 60), st.integers(1, 3))
+def test_scan_takes_each_command_once_whatever_is_offered(
+    commands: list[list[bytes]], rest: bytes, window: int, max_commands: int
+) -> None:
+    stream = b"".join(encode_command(*command) for command in commands)
+    reader, found, position = CommandReader(), [], 0
+    while position < len(stream):
+        scanned = reader.scan(stream[position : position + window], max_commands)
+        assert scanned.error is None and len(scanned.commands) <= max_commands
+        assert scanned.size or not stream
+        found += scanned.commands
+        position += scanned.size
+    assert found == commands and position == len(stream) and not reader.buffered_bytes
+    garbage = b"+" + rest
+    scanned = reader.scan(encode_command("a") + garbage, 5)
+    assert scanned.commands == [[b"a"]] and scanned.error is not None
+    assert scanned.size == len(encode_command("a")) and not reader.buffered_bytes
