--- a/garnetrelay/journal_records.py
+++ b/garnetrelay/journal_records.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import struct
 import zlib
@@ -27,9 +28,10 @@
 MAX_PAYLOAD = 1 << 20  # bytes
 MIN_MESSAGE_RECORD_BYTES = 180  # a message's record takes more than this before its body
 MARKER_FIELD = "sync"
+MARKER_START = b'{"t":"told","ref":"","sync":'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Record:
     """A complete record of a journal file."""
 
@@ -64,9 +66,12 @@
     def read(self, data: bytes, position: int = 0) -> Iterator[Record | DamagedRange]:
         """Yield the complete records of ``data`` from ``position`` on, and what was skipped between them.
 
-        Bytes behind the last item belong to an incomplete record.
+        Repetitions of a marker are left out. Bytes behind the last item belong to an incomplete record.
         """
         while position < len(data):
+            if self.marker is not None and data.startswith(encode_marker(self.marker), position):
+                position += len(encode_marker(self.marker))
+                continue
             record = _record_at(data, position)
             if record is not None:
                 self._note_marker(record)
@@ -81,7 +86,7 @@
 
     def _note_marker(self, record: Record) -> None:
         """Remember the marker if the record is one. All records come from the writer, so it is genuine."""
-        if MARKER_FIELD.encode() in record.payload[:MIN_MESSAGE_RECORD_BYTES]:
+        if record.payload.startswith(MARKER_START):
             try:
                 fields = record.decode()
             except ValueError:
@@ -112,6 +117,7 @@
     return RECORD_HEADER.pack(MAGIC, len(payload), zlib.crc32(payload)) + payload
 
 
+@functools.lru_cache(maxsize=4)
 def encode_marker(marker: str) -> bytes:
     """Return the record of a synchronization marker: the acknowledgement of a message that does not exist."""
     return encode_record({"t": "told", "ref": "", MARKER_FIELD: marker})
