Guard only the bodies that could pass for records; other records stay as they were

Cause: the marker was written for all messages, though a body without the two bytes that begin a record cannot pass for one.

Change: such a body (one in 200 with 300 random bytes) stands between two guards, derived from the file's first record; earlier versions pass over them. All other records are as before.

--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -11,8 +11,8 @@
 about to be sent), ``outcome``, ``ended`` and ``told`` (its notice was acknowledged). ``clock`` names the
 boot and the offset for the records after it: a recorded time is that boot's monotonic time plus the offset,
 which makes it close to wall-clock time. Records without a ``clock`` record before them come from
-earlier versions, whose times are wall-clock times. A ``told`` record of no message has no effect: it carries
-the synchronization marker, or tests that the disk works.
+earlier versions, whose times are wall-clock times. A ``told`` record of no message has no effect: it
+guards a message's record (see ``journal_records``), or tests that the disk works.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 import logging
 import os
 import time
-from collections import Counter, deque
+from collections import deque
 from dataclasses import dataclass, replace
 from itertools import chain
 from pathlib import Path
@@ -29,7 +29,15 @@
 
 from garnetrelay.clock import boot_id, monotonic_ms, wall_offset_ms
 from garnetrelay.files import close_quietly, file_size, read_all, remove_quietly, write_all
-from garnetrelay.journal_records import DamagedRange, Record, RecordReader, encode_marker, encode_record
+from garnetrelay.journal_records import (
+    MAGIC,
+    RECORD_HEADER,
+    DamagedRange,
+    Guards,
+    Record,
+    RecordReader,
+    encode_record,
+)
 
 log = logging.getLogger(__name__)
 
@@ -38,8 +46,8 @@
 RECORD_OVERHEAD = 1024
 MIN_REWRITE_BYTES = 256 * 1024  # a smaller file is not rewritten only to drop dead records
 REWRITE_RETRY_DELAY = 1.0  # seconds until an optional rewrite is tried again after it failed
+GUARDS_BYTES = 256  # at most, for both guards of a record
 END_RECORDS_BYTES = 512  # for the records of the end of one message and of its notice
-MARKER_BYTES = 16  # of randomness in a synchronization marker
 
 
 @dataclass(slots=True)
@@ -86,7 +94,7 @@
         self.entries: dict[str, JournalEntry] = {}
         # bytes that the live entries would take in a rewritten file, including their later records
         self.live_bytes = 0
-        self.live_bytes_by_destination: Counter[int] = Counter()
+        self.live_bytes_by_destination: dict[int, int] = {}
         self.pending: deque[bytes] = deque()  # records that could not be written yet, oldest first
         self.failing = False  # the latest record could not be written
         self.has_torn_tail = False  # the file ends in a partial record, to be truncated before the next write
@@ -95,8 +103,8 @@
         self.is_current_boot = False  # the times in the file are of this boot
         self.rewrite_failed = False  # the latest one
         self.next_rewrite_at = 0.0  # when an optional rewrite may be tried again
-        self.marker = os.urandom(MARKER_BYTES).hex()  # precedes each message's record in the file
-        self.is_marked = True  # no message's record in the file lacks a marker
+        self.guards: Guards | None = None  # of the file, once it has a record
+        self.has_unguarded_body = False  # of a live message, in a file of an earlier version
         self.file = _open_locked(self.path, os.O_CREAT if create else 0)
         remove_quietly(self.temporary_path)  # left by a rewrite that a kill interrupted
         try:
@@ -107,7 +115,7 @@
         self._mark_attempt_times_uncertain()
         if not self.is_current_boot:
             self.offset = wall_offset_ms()
-            self.pending.append(self._clock_record())
+            self.pending.append(self._clock_record(monotonic_ms()))
 
     def close(self) -> None:
         """Release the journal: the next process to acquire it owns its messages."""
@@ -134,9 +142,11 @@
     def accept(self, entry: JournalEntry) -> bool:
         """Record an accepted message. Returns False if that fails or if there is no room: the message must
         not be accepted then."""
-        if self.marker.encode() in entry.body and not self._replace_marker(entry.body):
+        record, new_bytes = self._message_record(entry), entry_bytes(entry)
+        self._make_room(sum(map(len, self.pending)) + len(record) + GUARDS_BYTES, new_bytes)
+        if not self._has_guards_for(entry.body) and not self._replace_guards(entry.body):
             return False
-        if not self._append(self._full_record(entry), entry_bytes(entry)):
+        if not self._write_pending() or not self._write(self._guard(record, entry.body), new_bytes):
             return False
         self._add(entry)
         return True
@@ -218,22 +228,27 @@
         previous = self.entries.get(entry.ref)
         if previous is not None:
             self._remove(previous)
-        self.live_bytes += entry_bytes(entry)
-        self.live_bytes_by_destination[entry.dest] += entry_bytes(entry)
+        self._count(entry.dest, entry_bytes(entry))
         self.entries[entry.ref] = entry
 
     def _remove(self, entry: JournalEntry) -> None:
-        self.live_bytes -= entry_bytes(entry)
-        self.live_bytes_by_destination[entry.dest] -= entry_bytes(entry)
-        if not self.live_bytes_by_destination[entry.dest]:
-            del self.live_bytes_by_destination[entry.dest]
+        self._count(entry.dest, -entry_bytes(entry))
         del self.entries[entry.ref]
 
+    def _count(self, destination: int, change: int) -> None:
+        """Change the live bytes of a destination. One that has none is not kept."""
+        self.live_bytes += change
+        size = self.live_bytes_by_destination.get(destination, 0) + change
+        if size:
+            self.live_bytes_by_destination[destination] = size
+        else:
+            del self.live_bytes_by_destination[destination]
+
     # ---- the clock
 
-    def _clock_record(self) -> bytes:
-        """Return the record that defines how to read the times after it."""
-        record = {"t": "clock", "ref": "", "boot": self.boot, "offset": self.offset, "at": monotonic_ms()}
+    def _clock_record(self, at: int) -> bytes:
+        """Return the record that defines how to read the times after it, written at ``at``."""
+        record = {"t": "clock", "ref": "", "boot": self.boot, "offset": self.offset, "at": at}
         return encode_record(record)
 
     def _apply_clock(self, record: dict[str, Any]) -> None:
@@ -254,22 +269,34 @@
                     entry.uncertain = True
 
     def _full_record(self, entry: JournalEntry) -> bytes:
-        """Return the record of a message's full state, behind one of the marker."""
+        """Return the record of a message's full state, with guards if its body needs them."""
+        return self._guard(self._message_record(entry), entry.body)
+
+    def _message_record(self, entry: JournalEntry) -> bytes:
         shifted = self._shift_times(entry, self.offset)
         fields = {name: getattr(shifted, name) for name in JournalEntry.__slots__ if name != "body"}
-        return encode_marker(self.marker) + encode_record({"t": "taken", **fields}, entry.body)
-
-    def _replace_marker(self, body: bytes) -> bool:
-        """Rewrite the file with a marker that neither ``body`` nor a body in the file contains. Returns
-        whether that succeeded."""
-        previous = self.marker
-        while self.marker.encode() in body or any(
-            self.marker.encode() in entry.body for entry in self.entries.values()
-        ):
-            self.marker = os.urandom(MARKER_BYTES).hex()
-        if not self._rewrite():
-            self.marker = previous
-        return self.marker != previous
+        return encode_record({"t": "taken", **fields}, entry.body)
+
+    def _guard(self, record: bytes, body: bytes) -> bytes:
+        return record if self.guards is None else self.guards.wrap(record, body)
+
+    def _replace_guards(self, body: bytes) -> bool:
+        """Rewrite the file with guards that the body does not contain. Returns whether that succeeded."""
+        return self.size + self.live_bytes <= self._limit() and self._rewrite(body)
+
+    def _has_guards_for(self, body: bytes) -> bool:
+        """Return whether the file has guards that the body does not contain, or the body needs none."""
+        return MAGIC not in body or self.guards is not None and self.guards.marker.encode() not in body
+
+    def _choose_guards(self, *bodies: bytes) -> bytes:
+        """Set guards that no body contains for a new file, and return the file's first record."""
+        at = monotonic_ms()
+        while True:
+            first_record = self._clock_record(at)
+            self.guards = Guards.of_file(first_record[RECORD_HEADER.size :])
+            if all(map(self._has_guards_for, bodies)):
+                return first_record
+            at -= 1  # a clock record of an earlier time says the same
 
     @staticmethod
     def _shift_times(entry: JournalEntry, offset: int) -> JournalEntry:
@@ -283,24 +310,24 @@
 
     # ---- the file
 
-    def _append(self, data: bytes, new_bytes: int = 0) -> bool:
-        """Append the record after all pending ones. Returns whether it is in the file.
-
-        ``new_bytes`` is what the record adds to the live bytes.
-        """
-        self._make_room(sum(map(len, self.pending)) + len(data), new_bytes)
-        return self._write_pending() and self._write(data, new_bytes)
+    def _append(self, data: bytes) -> bool:
+        """Append the record after all pending ones. Returns whether it is in the file."""
+        self._make_room(sum(map(len, self.pending)) + len(data))
+        return self._write_pending() and self._write(data)
 
     def _make_room(self, needed: int, new_bytes: int = 0) -> None:
-        """Rewrite the file if it has no room for ``needed`` more bytes, or if most of it is dead records."""
+        """Rewrite the file if it has no room for ``needed`` more bytes, or if most of it is dead records.
+
+        ``new_bytes`` is what they add to the live bytes.
+        """
         if self.size + self.live_bytes > self._limit():
             return  # both files would not fit: messages have to end first
         if self.size + needed > max(self.max_bytes - self.live_bytes - new_bytes - RECORD_OVERHEAD, 0):
             self._rewrite()
         elif (
-            self.size > max(MIN_REWRITE_BYTES, 3 * self.live_bytes) or not self.is_marked
+            self.size > max(MIN_REWRITE_BYTES, 3 * self.live_bytes) or self.has_unguarded_body
         ) and time.monotonic() >= self.next_rewrite_at:
-            # optional: drops dead records early, or adds the markers that an earlier version did not write
+            # optional: drops dead records early, or adds the guards that an earlier version did not write
             if not self._rewrite():
                 self.next_rewrite_at = time.monotonic() + REWRITE_RETRY_DELAY
 
@@ -355,6 +382,8 @@
         except OSError as error:
             self._truncate_torn_tail()
             return self._report_failure(f"cannot write: {error.strerror}")
+        if not self.size:
+            self.guards = Guards.of_file(data[RECORD_HEADER.size :])
         self.size += len(data)
         self._report_success()
         return True
@@ -378,9 +407,10 @@
             log.info("%s: writes succeed again", self.path.name)
         self.failing = False
 
-    def _rewrite(self) -> bool:
+    def _rewrite(self, *new_bodies: bytes) -> bool:
         """Write the live entries to a new file and rename it over the old one. Returns whether that
-        succeeded."""
+        succeeded. The guards of the new file are none that ``new_bodies`` contain."""
+        previous_guards = self.guards
         try:
             new_file = os.open(
                 self.temporary_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600
@@ -388,7 +418,8 @@
         except OSError as error:
             return self._report_rewrite_failure(error)
         size = 0
-        records = chain([self._clock_record()], map(self._full_record, self.entries.values()))
+        first_record = self._choose_guards(*(entry.body for entry in self.entries.values()), *new_bodies)
+        records = chain([first_record], map(self._full_record, self.entries.values()))
         try:
             # The new file must be locked before it takes the old one's name.
             fcntl.flock(new_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -399,9 +430,11 @@
         except OSError as error:
             close_quietly(new_file)
             remove_quietly(self.temporary_path)
+            self.guards = previous_guards
             return self._report_rewrite_failure(error)
         close_quietly(self.file)
-        self.file, self.size, self.has_torn_tail, self.is_marked = new_file, size, False, True
+        self.file, self.size, self.has_torn_tail = new_file, size, False
+        self.has_unguarded_body = False
         self.rewrite_failed = False
         self.pending.clear()  # the rewritten entries include the effect of all pending records
         return True
@@ -426,10 +459,8 @@
                 self._mark_all_uncertain()
             else:
                 self._replay(item)
-        if reader.marker is None:
-            self.is_marked = not self.entries
-        else:
-            self.marker = reader.marker
+        self.guards = reader.guards
+        self.has_unguarded_body = reader.has_unguarded_body
         if end < len(data):
             log.warning("journal: torn tail of %d bytes truncated", len(data) - end)
             self.size = end
@@ -438,11 +469,11 @@
 
     def _replay(self, record: Record) -> None:
         try:
-            fields = record.decode()
+            fields, body = record.decode()
             match fields["t"]:
                 case "taken":
                     del fields["t"]
-                    self._add(self._shift_times(JournalEntry(body=record.body, **fields), -self.offset))
+                    self._add(self._shift_times(JournalEntry(body=body, **fields), -self.offset))
                 case "clock":
                     self._apply_clock(fields)
                 case _:
--- a/garnetrelay/journal_follower.py
+++ b/garnetrelay/journal_follower.py
@@ -60,7 +60,7 @@
 
     def _note(self, record: Record) -> None:
         try:
-            fields: Any = record.decode()
+            fields: Any = record.decode()[0]
         except ValueError:
             return
         if isinstance(fields, dict) and isinstance(fields.get("ref"), str):
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -178,7 +178,7 @@
         free -= self.own_journal.live_bytes + self.reservations.total
         used = Counter(self.reservations.by_destination)
         for journal in self.journals.values():
-            used[destination] += journal.live_bytes_by_destination[destination]
+            used[destination] += journal.live_bytes_by_destination.get(destination, 0)
         if not may_use_share(destination, size, free, used):
             return False
         self.reservations.add(destination, size)
--- a/tests/test_journal_records.py
+++ b/tests/test_journal_records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import struct
 import zlib
 from pathlib import Path
@@ -11,7 +10,7 @@
 import pytest
 
 from garnetrelay.journal import Journal, JournalEntry
-from garnetrelay.journal_records import MAGIC, encode_marker, encode_record
+from garnetrelay.journal_records import MAGIC, encode_record
 
 DISK = 3_000_000
 DEADLINE = 1_900_000_000_000
@@ -49,28 +48,25 @@
         frame({"t": "ended", "ref": "victim", "result": None, "wait": 0})
         + frame(message_fields("forged"), b"body")
         + frame({"t": "clock", "ref": "", "boot": "other", "offset": 5, "at": 1})
-        + frame({"t": "told", "ref": "", "sync": "a marker"})
+        + frame({"t": "told", "ref": "", "guard": "end", "marker": "of another file"})
     )
     return (frames * (size // len(frames) + 1))[:size] + frames
 
 
-def write_journal(folder: Path, marked: bool, *bodies: bytes) -> tuple[bytes, list[int]]:
+def write_journal(folder: Path, guarded: bool, *bodies: bytes) -> tuple[bytes, list[int]]:
     """Write a message "victim", then one for each body and one behind each, and return the file's bytes and
-    the offsets at which the records of the bodies begin. Without markers it is as earlier versions wrote."""
+    the offsets at which the records of the bodies begin. Without guards it is as earlier versions wrote."""
     journal = Journal(folder, DISK)
     assert journal.accept(JournalEntry("victim", "keyed", 3, "k", DEADLINE, b"body"))
-    starts = []
     for number, body in enumerate(bodies):
-        starts.append(journal.size)
         assert journal.accept(JournalEntry(f"hostile{number}", "keyed", 3, "k", DEADLINE, body))
         assert journal.accept(JournalEntry(f"behind{number}", "keyed", 3, "k", DEADLINE, b"x"))
     journal.close()
     data = journal.path.read_bytes()
-    marker = encode_marker(journal.marker)
-    if marked:
-        return data, [start + len(marker) for start in starts]
-    starts = [start - data.count(marker, 0, start) * len(marker) for start in starts]
-    return data.replace(marker, b""), starts
+    if not guarded and journal.guards is not None:
+        data = data.replace(journal.guards.begin, b"").replace(journal.guards.end, b"")
+    names = [b'{"t":"taken","ref":"hostile%d"' % number for number in range(len(bodies))]
+    return data, [data.index(name) - 10 for name in names]
 
 
 def read_refs(folder: Path, data: bytes) -> set[str]:
@@ -87,22 +83,24 @@
     return refs
 
 
-@pytest.fixture(params=[True, False], ids=["with markers", "of an earlier version"])
-def marked(request: pytest.FixtureRequest) -> bool:
+@pytest.fixture(params=[True, False], ids=["with guards", "of an earlier version"])
+def guarded(request: pytest.FixtureRequest) -> bool:
     return bool(request.param)
 
 
 # Guards against a message that is lost because the record of its end lies in a body that a kill cut off.
-def test_frames_in_a_body_that_is_cut_off_are_not_read_as_records(tmp_path: Path, marked: bool) -> None:
-    data, [start] = write_journal(tmp_path, marked, hostile_body())
-    end = data.index(b"behind0") if marked else data.index(b'{"t":"taken","ref":"behind0"')
+def test_frames_in_a_body_that_is_cut_off_are_not_read_as_records(tmp_path: Path, guarded: bool) -> None:
+    data, [start] = write_journal(tmp_path, guarded, hostile_body())
+    end = data.index(b'{"t":"taken","ref":"behind0"')
     for cut in range(start + 1, start + 3000, 37):
         assert cut < end and read_refs(tmp_path, data[:cut]) == {"victim"}
 
 
 # Guards against frames in a body that are read as records because one byte of the body's record is damaged.
-def test_frames_in_the_body_of_a_damaged_record_are_not_read_as_records(tmp_path: Path, marked: bool) -> None:
-    data, [start, _] = write_journal(tmp_path, marked, hostile_body(), hostile_body(700))
+def test_frames_in_the_body_of_a_damaged_record_are_not_read_as_records(
+    tmp_path: Path, guarded: bool
+) -> None:
+    data, [start, _] = write_journal(tmp_path, guarded, hostile_body(), hostile_body(700))
     for offset in (*range(10), 40, 250, 1000, 3100):
         damaged = bytearray(data)
         damaged[start + offset] ^= 0x24
@@ -118,38 +116,67 @@
         assert refs == {"victim", "behind0", "hostile1", "behind1"}
 
 
-# Guards against a body that is read as records because it holds the markers of its own file.
-def test_body_that_holds_the_marker_of_the_file_is_not_read_as_records(tmp_path: Path) -> None:
+# Guards against a body that is read as records because it holds the guards of its own file.
+@pytest.mark.parametrize("restarted", [False, True])
+def test_body_that_holds_the_guards_of_the_file_is_not_read_as_records(
+    tmp_path: Path, restarted: bool
+) -> None:
     journal = Journal(tmp_path, DISK)
     assert journal.accept(JournalEntry("victim", "keyed", 3, "k", DEADLINE, b"body"))
-    marker = journal.marker
-    body = (
-        encode_marker(marker) + encode_record({"t": "ended", "ref": "victim", "result": None, "wait": 0})
-    ) * 9
+    guards = journal.guards
+    assert guards is not None
+    if restarted:
+        journal.close()
+        journal = Journal(tmp_path, DISK)
+        assert journal.guards == guards
+    end = encode_record({"t": "ended", "ref": "victim", "result": None, "wait": 0})
+    body = (guards.end + end + guards.begin + end + guards.end) * 9
     assert journal.accept(JournalEntry("hostile", "keyed", 3, "k", DEADLINE, body))
-    assert journal.marker != marker
+    assert journal.guards is not None and journal.guards.marker != guards.marker
     journal.close()
     data = journal.path.read_bytes()
-    start = data.index(b'"ref":"hostile"') - 25
-    assert read_refs(tmp_path, data[:start] + bytes(100) + data[start + 100 :]) == {"victim"}
-    assert read_refs(tmp_path, data[:-20]) == {"victim"}
+    start = data.index(b'{"t":"taken","ref":"hostile"') - 10
+    for first in (start, start - 60):
+        assert read_refs(tmp_path, data[:first] + bytes(200) + data[first + 200 :]) == {"victim"}
+    for cut in (2, 200, 900, 2_000):
+        assert read_refs(tmp_path, data[:-cut]) == ({"victim", "hostile"} if cut == 2 else {"victim"})
+
+
+# Guards against a file without guards: its first record, from which they are derived, is not written yet.
+def test_first_message_of_a_file_has_guards(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, DISK)
+    assert journal.accept(JournalEntry("hostile", "keyed", 3, "k", DEADLINE, hostile_body()))
+    journal.close()
+    data = journal.path.read_bytes()
+    assert read_refs(tmp_path, data) == {"hostile"}
+    start = data.index(b'{"t":"taken","ref":"hostile"') - 10
+    for first in (start, start + 8):
+        assert read_refs(tmp_path, data[:first] + bytes(300) + data[first + 300 :]) == set()
 
 
 # Guards against a journal that the next version, or the one before after a rollback, cannot read.
-def test_journal_of_an_earlier_version_is_read_and_the_new_one_has_no_other_records(tmp_path: Path) -> None:
+def test_journal_of_an_earlier_version_gets_guards_that_earlier_versions_pass_over(tmp_path: Path) -> None:
     data, _ = write_journal(tmp_path, False, hostile_body())
     (tmp_path / "journal").write_bytes(data)
     journal = Journal(tmp_path, DISK)
-    assert set(journal.entries) == {"victim", "hostile0", "behind0"} and not journal.is_marked
-    assert journal.record_attempt_start("victim", "north", 1) and journal.is_marked  # it was rewritten
+    assert set(journal.entries) == {"victim", "hostile0", "behind0"} and journal.has_unguarded_body
+    assert journal.record_attempt_start("victim", "north", 1)
+    assert not journal.has_unguarded_body  # it was rewritten
     journal.close()
-    position, kinds = 0, []
+    position, records = 0, []
     rewritten = journal.path.read_bytes()
     while position < len(rewritten):
         magic, length, checksum = struct.unpack_from(">2sII", rewritten, position)
         payload = rewritten[position + 10 : position + 10 + length]
         assert magic == MAGIC and zlib.crc32(payload) == checksum
-        kinds.append(payload[: payload.index(b",")])
+        records.append(payload[: payload.index(b",", payload.index(b",") + 1)])
         position += 10 + length
-    assert set(kinds) == {b'{"t":"clock"', b'{"t":"told"', b'{"t":"taken"', b'{"t":"try"'}
-    assert os.path.getsize(journal.path) == len(rewritten)
+    assert records == [
+        b'{"t":"clock","ref":""',
+        b'{"t":"taken","ref":"victim"',
+        b'{"t":"told","ref":""',
+        b'{"t":"taken","ref":"hostile0"',
+        b'{"t":"told","ref":""',
+        b'{"t":"taken","ref":"behind0"',
+        b'{"t":"try","ref":"victim"',
+    ]
