Let a client that has ended its sending read its answers before its connection is closed

A client sends many commands and an error, ends its sending and reads slowly: the answers are cut off.

Cause: _finish_close took the end of a client's sending for its end, and a close over unread input resets the connection.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -367,12 +367,14 @@
     def _finish_close(self, remaining: float) -> None:
         """Close once ``remaining`` seconds are over, or the client has closed its side.
 
-        Answers that have not reached the client's machine get ``WRITE_TIMEOUT`` more.
+        Answers that have not reached the client's machine get ``WRITE_TIMEOUT`` more: a client that has
+        closed its side may still read.
         """
         transport = self.transport
         if transport is None or self.disconnected:
             return
-        if has_hung_up(transport) or remaining <= (-WRITE_TIMEOUT if self.has_undelivered_answers else 0):
+        is_due = remaining <= 0 or has_hung_up(transport)
+        if remaining <= -WRITE_TIMEOUT or is_due and not self.has_undelivered_answers:
             transport.abort()
             return
         asyncio.get_running_loop().call_later(
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -242,14 +242,23 @@
 
 
 # Guards against answers that are cut off by the close although the client reads them, only slowly.
-async def test_slow_reader_gets_all_answers_of_a_connection_that_is_closed(field: Field) -> None:
+@pytest.mark.parametrize("half_closes", [False, True])
+async def test_slow_reader_gets_all_answers_of_a_connection_that_is_closed(
+    field: Field, half_closes: bool
+) -> None:
     first = await field.start()
     server = field.relays[0].server
     client = RawClient(port_of(first))
     client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
     payload = "p" * 5_000
     count = 2_000  # more than the kernel holds
-    sending = asyncio.create_task(client.send(encode_command("PING", payload) * count + b"bad\r\n"))
+
+    async def send() -> None:
+        await client.send(encode_command("PING", payload) * count + b"bad\r\n")
+        if half_closes:
+            client.socket.shutdown(socket.SHUT_WR)
+
+    sending = asyncio.create_task(send())
     await until(lambda: any(connection.has_undelivered_answers for connection in server.connections))
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(PATIENCE):
