--- a/garnetrelay/journal.py
+++ b/garnetrelay/journal.py
@@ -42,6 +42,7 @@
 log = logging.getLogger(__name__)
 
 BLOCK_SIZE = 512  # bytes; a file occupies whole blocks
+FOLDER_SLACK_BYTES = 8 * BLOCK_SIZE  # left free for the ends of blocks and for the files of locks
 # bytes reserved for a message: its full record apart from names and body, and some later records about it
 RECORD_OVERHEAD = 1024
 MIN_REWRITE_BYTES = 256 * 1024  # a smaller file is not rewritten only to drop dead records
@@ -89,7 +90,7 @@
         self.path = folder / name
         self.temporary_path = folder / f"{name}.new"
         self._own_paths = (self.path, self.temporary_path)
-        self.max_bytes = disk_bytes - 8 * BLOCK_SIZE
+        self.max_bytes = disk_bytes - FOLDER_SLACK_BYTES
         self.folder_limit = self.max_bytes  # bytes of all journals; another process may hold some of them
         self.entries: dict[str, JournalEntry] = {}
         # bytes that the live entries would take in a rewritten file, including their later records
--- a/garnetrelay/ownership.py
+++ b/garnetrelay/ownership.py
@@ -10,12 +10,18 @@
 import logging
 import os
 import re
-from collections import ChainMap, Counter
+from collections import ChainMap
 from collections.abc import Iterable
 from pathlib import Path
 
 from garnetrelay.files import file_size
-from garnetrelay.journal import RECORD_OVERHEAD, JournalEntry, Journal, record_weight
+from garnetrelay.journal import (
+    FOLDER_SLACK_BYTES,
+    RECORD_OVERHEAD,
+    JournalEntry,
+    Journal,
+    record_weight,
+)
 from garnetrelay.journal_follower import JournalFollower
 from starlingwick.storage_share import StorageReservations, may_use_share
 
@@ -34,8 +40,8 @@
         self.shared = shared
         # For each journal. Another process may start at any time, and the disk limit applies to both
         # together.
-        self.folder_limit = disk_bytes
-        self.max_bytes = (disk_bytes - disk_bytes // HANDOVER_DISK_DIVISOR) // 2 if shared else disk_bytes
+        self.folder_limit = disk_bytes - disk_bytes // HANDOVER_DISK_DIVISOR if shared else disk_bytes
+        self.max_bytes = self.folder_limit // 2 if shared else disk_bytes
         self.journals: dict[str, Journal] = {}
         self.held_by_others: list[Path] = []  # locked by another live process at the last check
         self.followers: dict[Path, JournalFollower] = {}  # of the journals that others hold
@@ -176,10 +182,10 @@
         size = weight + RECORD_OVERHEAD
         free = self.own_journal.capacity - self._other_journals_bytes() // 2
         free -= self.own_journal.live_bytes + self.reservations.total
-        used = Counter(self.reservations.by_destination)
+        used = self.reservations.by_destination[destination]
         for journal in self.journals.values():
-            used[destination] += journal.live_bytes_by_destination.get(destination, 0)
-        if not may_use_share(destination, size, free, used):
+            used += journal.live_bytes_by_destination.get(destination, 0)
+        if not may_use_share(size, used, free):
             return False
         self.reservations.add(destination, size)
         return True
@@ -269,7 +275,7 @@
     def _open_journal(self, name: str, create: bool) -> Journal:
         """Open a journal. Raises what ``Journal`` raises."""
         journal = Journal(self.folder, self.max_bytes, name, create)
-        journal.folder_limit = self.folder_limit
+        journal.folder_limit = self.folder_limit - FOLDER_SLACK_BYTES
         return journal
 
     def _add_journal(self, journal: Journal) -> list[JournalEntry]:
--- a/starlingwick/storage_share.py
+++ b/starlingwick/storage_share.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 THRESHOLD = 2.0  # a destination may use up to this multiple of the free room
@@ -32,11 +31,10 @@
         self.by_destination.clear()
 
 
-def may_use_share(destination: int, size: int, free: int, used_by_destination: Mapping[int, int]) -> bool:
+def may_use_share(size: int, used: int, free: int) -> bool:
     """Return whether a message of ``size`` bytes keeps its destination within its share.
 
-    ``free`` is the room that neither recorded nor reserved messages use, ``used_by_destination`` what they
-    use.
+    ``used`` is what recorded and reserved messages of the destination take, ``free`` the room that those of
+    all destinations leave.
     """
-    used = used_by_destination.get(destination, 0) + size
-    return used <= THRESHOLD * (free - size)
+    return used + size <= THRESHOLD * (free - size)
--- a/tests/test_storage_share.py
+++ b/tests/test_storage_share.py
@@ -78,10 +78,10 @@
         assert reserve(ownership, entry(f"other{destination}", 200, destination))
 
 
-def test_share_of_one_destination_is_two_thirds_of_what_the_others_leave() -> None:
-    assert may_use_share(1, 10, 15, {}) and not may_use_share(1, 10, 14, {})
-    assert may_use_share(1, 10, 30, {1: 30, 2: 90}) and not may_use_share(1, 10, 29, {1: 30, 2: 90})
-    assert may_use_share(2, 10, 15, {1: 900})
+# Guards against a share that is counted without the message that asks for it.
+def test_destination_may_use_twice_what_is_free_behind_its_message() -> None:
+    assert may_use_share(10, 0, 15) and not may_use_share(10, 0, 14)
+    assert may_use_share(10, 30, 30) and not may_use_share(10, 30, 29)
 
 
 def overfill(folder: Path) -> list[str]:
